--- /dev/null
+++ b/include/ragwortcart/Control/ServerDirectory.h
@@ -0,0 +1,98 @@
+/// \file
+/// Builds the topology from the platform's instance list, the servers' reports, the configuration and the seat. Without I/O.
+#ifndef RAGWORTCART_CONTROL_SERVERDIRECTORY_H
+#define RAGWORTCART_CONTROL_SERVERDIRECTORY_H
+
+#include "ragwortcart/Kernel/Topology.h"
+#include "ragwortcart/Model/Configuration.h"
+#include "ragwortcart/Model/ServerStatus.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ragwort {
+
+/// A backend server in the platform's instance list.
+struct ListedServer
+{
+    ServerIdentity identity;
+    bool leaving = false;
+};
+
+/// An entry instance in the platform's instance list.
+struct ListedEntry
+{
+    std::string id;
+    std::string domain;
+    std::string peerAddress;
+    std::string operatorAddress;
+    bool leaving = false;
+};
+
+/// A status with the time at which it was observed, by this instance or a peer.
+struct ObservedStatus
+{
+    ServerStatus status;
+    Instant observedAt{};
+};
+
+class ServerDirectory
+{
+public:
+    ServerDirectory(std::string ownInstance, std::string ownDomain);
+
+    /// Each returns true when the topology has to be built anew.
+    bool setServers(std::vector<ListedServer> listed);
+    bool setEntries(std::vector<ListedEntry> listed);
+    bool setConfiguration(std::shared_ptr<const Configuration> next);
+    bool setSeat(int number, int count);
+    bool setCrossDomainAllowed(bool allowed);
+    /// Keeps the newer of two statuses; an older one than known is ignored.
+    bool noteStatus(const ServerStatus &status, Instant observedAt);
+
+    /// Makes the topology of everything known now.
+    std::shared_ptr<const Topology> build();
+
+    const std::vector<ListedEntry> &entries() const
+    {
+        return this->listedEntries;
+    }
+    const std::map<std::string, ObservedStatus> &statuses() const
+    {
+        return this->observed;
+    }
+    std::shared_ptr<ServerRecord> findServer(std::string_view id) const;
+
+    /// The servers whose status this instance has to poll: each server is polled by one live instance of its own failure
+    /// domain, or of the whole tier where its domain has none.
+    std::vector<std::shared_ptr<ServerRecord>> serversToPoll() const;
+
+    /// The instance that alone may send to a server at the first level of its warm-up.
+    std::string coldOwner(std::string_view serverId) const;
+
+    /// Entry instances that hold a seat; the owners of cold servers are chosen among them.
+    bool setSeatHolders(std::vector<std::string> holders);
+
+private:
+    void applyBarriers(ServerRecord &record, const ListedServer &listed) const;
+    void addSnapshots(GroupTopology &group, const std::shared_ptr<ServerRecord> &record) const;
+
+    std::string instance;
+    std::string domain;
+    std::vector<ListedServer> listedServers;
+    std::vector<ListedEntry> listedEntries;
+    std::vector<std::string> seatHolders;
+    std::map<std::string, std::shared_ptr<ServerRecord>, std::less<>> records;
+    std::map<std::string, ObservedStatus> observed;
+    std::shared_ptr<const Configuration> configuration = std::make_shared<const Configuration>();
+    ShareInputs shares;
+    bool crossDomainAllowed = true;
+    std::uint64_t version = 0;
+};
+
+} // namespace ragwort
+
+#endif
--- /dev/null
+++ b/include/ragwortcart/Emulator/FakePlatform.h
@@ -0,0 +1,98 @@
+/// \file
+/// The emulated platform as a server: key-value service and instance list in the format of Consul's HTTP API, with faults
+/// ordered at run time.
+#ifndef RAGWORTCART_EMULATOR_FAKEPLATFORM_H
+#define RAGWORTCART_EMULATOR_FAKEPLATFORM_H
+
+#include "ragwortcart/Emulator/FakeStore.h"
+#include "ragwortcart/Emulator/FleetPlan.h"
+#include "ragwortcart/Wire/EventLoop.h"
+#include "ragwortcart/Wire/HttpServer.h"
+
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ragwort {
+
+/// Faults of the emulated platform; all off at first.
+struct PlatformFaults
+{
+    /// No call is answered.
+    bool outage = false;
+    Duration delay{};
+    /// The next writes take effect, but their connections end without an answer.
+    int loseWriteAnswers = 0;
+    /// How much later the instance list shows a change.
+    Duration listLag{};
+};
+
+struct PlatformCounts
+{
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t refusedByOutage = 0;
+};
+
+class FakePlatform
+{
+public:
+    FakePlatform(EventLoop &loop, const std::string &address, const FleetPlan &plan);
+
+    Result<std::uint16_t> listen();
+
+private:
+    struct ListedInstance
+    {
+        std::string service;
+        std::string id;
+        std::string address;
+        /// "live", "leaving" or "gone".
+        std::string state = "live";
+        std::map<std::string, std::string> meta;
+    };
+    struct Watch
+    {
+        HttpRequest request;
+        std::shared_ptr<HttpExchange> exchange;
+        std::uint64_t index = 0;
+        Instant deadline{};
+    };
+    struct Target
+    {
+        std::string path;
+        std::map<std::string, std::string> query;
+    };
+
+    static Target parseTarget(const std::string &target);
+    void handle(HttpRequest request, std::shared_ptr<HttpExchange> exchange);
+    void serve(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange);
+    void serveRead(const HttpRequest &request, const Target &target, const std::shared_ptr<HttpExchange> &exchange);
+    void serveWrite(const HttpRequest &request, const Target &target, const std::shared_ptr<HttpExchange> &exchange);
+    void serveLease(const HttpRequest &request, const Target &target, const std::shared_ptr<HttpExchange> &exchange);
+    void serveOrder(const HttpRequest &request, const Target &target, const std::shared_ptr<HttpExchange> &exchange);
+    void answerWrite(const std::shared_ptr<HttpExchange> &exchange, bool written);
+    HttpResponse readKeys(const Target &target) const;
+    HttpResponse readInstances(const std::string &service) const;
+    std::uint64_t watchedIndex(const Target &target) const;
+    void wakeWatches();
+    void checkWatches();
+    void changeInstance(const std::string &id, const std::string &state);
+    HttpResponse reportCounts() const;
+
+    EventLoop &loop;
+    HttpServer server;
+    FakeStore store;
+    std::vector<ListedInstance> instances;
+    std::uint64_t listIndex = 1;
+    PlatformFaults faults;
+    PlatformCounts counts;
+    std::list<Watch> watches;
+};
+
+} // namespace ragwort
+
+#endif
--- /dev/null
+++ b/include/ragwortcart/Emulator/FleetPlan.h
@@ -0,0 +1,65 @@
+/// \file
+/// The description of an emulated deployment: which servers and entry instances exist, where, with which limits.
+#ifndef RAGWORTCART_EMULATOR_FLEETPLAN_H
+#define RAGWORTCART_EMULATOR_FLEETPLAN_H
+
+#include "ragwortcart/Support/Clock.h"
+#include "ragwortcart/Support/Settings.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace ragwort {
+
+struct PlannedGroup
+{
+    std::string name;
+    int services = 0;
+    int serversPerService = 0;
+    int slots = 0;
+    int connections = 0;
+    int coldCapacity = 0;
+    Duration connectTime{};
+    Duration serviceTime{};
+    int basePort = 0;
+    std::uint64_t documents = 0;
+};
+
+struct PlannedServer
+{
+    std::string id;
+    std::string team;
+    std::string group;
+    std::string service;
+    std::string domain;
+    std::string address;
+    /// Index into the plan's groups.
+    std::size_t groupIndex = 0;
+    int serviceIndex = 0;
+};
+
+struct PlannedEntry
+{
+    std::string id;
+    std::string domain;
+    std::string callerAddress;
+    std::string operatorAddress;
+    std::string peerAddress;
+};
+
+struct FleetPlan
+{
+    std::string team;
+    std::vector<std::string> domains;
+    std::vector<PlannedGroup> groups;
+    std::vector<PlannedServer> servers;
+    std::vector<PlannedEntry> entries;
+
+    /// Reads the `[fleet]`, `[entry]` and `[group.*]` sections; faults stay with \p settings.
+    static FleetPlan read(Settings &settings);
+};
+
+} // namespace ragwort
+
+#endif
--- /dev/null
+++ b/include/ragwortcart/Kernel/ExtraLoadBudget.h
@@ -0,0 +1,44 @@
+/// \file
+/// The budget from which hedges and retries of one backend group are paid.
+#ifndef RAGWORTCART_KERNEL_EXTRALOADBUDGET_H
+#define RAGWORTCART_KERNEL_EXTRALOADBUDGET_H
+
+#include <cstdint>
+
+namespace ragwort {
+
+/// Each planned sub-request earns a fraction of an extra one. Thread-confined: as every thread and every instance keeps
+/// to its fraction, so does the tier.
+class ExtraLoadBudget
+{
+public:
+    /// Earns the fraction \p rate of one extra sub-request.
+    void earn(double rate);
+
+    /// Takes one extra sub-request, or refuses.
+    bool spend();
+
+    bool available() const
+    {
+        return this->credit >= 1.0;
+    }
+
+    std::uint64_t spent() const
+    {
+        return this->taken;
+    }
+    std::uint64_t refused() const
+    {
+        return this->denied;
+    }
+
+private:
+    /// Invariant: 0 <= credit <= the cap on saved-up credit.
+    double credit = 1.0;
+    std::uint64_t taken = 0;
+    std::uint64_t denied = 0;
+};
+
+} // namespace ragwort
+
+#endif
--- /dev/null
+++ b/include/ragwortcart/Kernel/QueryEngine.h
@@ -0,0 +1,169 @@
+/// \file
+/// The decision kernel: the state machines of all queries of one thread, without I/O, clock or threads of its own.
+///
+/// A shell feeds it events with the time and carries out the actions it asks for. The same code runs in the entry
+/// process and in virtual-time tests.
+#ifndef RAGWORTCART_KERNEL_QUERYENGINE_H
+#define RAGWORTCART_KERNEL_QUERYENGINE_H
+
+#include "ragwortcart/Kernel/AdmissionQueue.h"
+#include "ragwortcart/Kernel/KernelMessages.h"
+#include "ragwortcart/Kernel/Policies.h"
+#include "ragwortcart/Kernel/SuspectList.h"
+#include "ragwortcart/Kernel/Topology.h"
+#include "ragwortcart/Support/Published.h"
+#include "ragwortcart/Support/TimerService.h"
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace ragwort {
+
+struct ActiveQuery;
+struct QueryPart;
+struct PartAttempt;
+
+/// What a state dump shows of one group in one engine.
+struct GroupStatus
+{
+    std::string key;
+    int admissionLimit = 0;
+    std::uint64_t extraSpent = 0;
+    std::uint64_t extraRefused = 0;
+    Duration meanDuration{};
+};
+
+struct EngineStatus
+{
+    std::size_t activeQueries = 0;
+    std::size_t waitingQueries = 0;
+    std::size_t waitingParts = 0;
+    std::vector<GroupStatus> groups;
+};
+
+/// One engine serves one thread. Engines of one process share the gate, the suspects and the server records.
+class QueryEngine
+{
+public:
+    struct Options
+    {
+        const Published<Configuration> &configuration;
+        const Published<Topology> &topology;
+        AdmissionGate &gate;
+        SuspectList &suspects;
+        std::uint64_t seed = 1;
+    };
+
+    explicit QueryEngine(const Options &options);
+    ~QueryEngine();
+    QueryEngine(const QueryEngine &) = delete;
+    QueryEngine &operator=(const QueryEngine &) = delete;
+
+    /// Handles one event. Events that belong to nothing that runs are dropped with a reason code.
+    void handle(const KernelEvent &event, Instant now);
+
+    /// Fires what is due at \p now.
+    void advance(Instant now);
+
+    std::optional<Instant> nextWakeup() const
+    {
+        return this->timers.nextDeadline();
+    }
+
+    /// The actions decided since the last call, in order.
+    std::vector<KernelAction> takeActions();
+
+    /// True when no query runs or waits; after a drain request it stays true.
+    bool idle() const;
+
+    EngineStatus status() const;
+
+private:
+    using QueryPointer = std::unique_ptr<ActiveQuery>;
+    struct GroupState;
+
+    // Lifecycle and admission (QueryEngine.cpp).
+    void onQueryArrived(const QueryArrived &event, Instant now);
+    void onCallerGone(const CallerGone &event, Instant now);
+    void onClaimDecided(const ClaimDecided &event, Instant now);
+    void onAccusationSpread(const AccusationSpread &event, Instant now);
+    void refuse(const QueryRequest &request, Reason reason, Duration retryAfter);
+    void admit(const QueryRequest &request, const std::string &key, Instant now);
+    void begin(ActiveQuery &query, Instant now);
+    void admitWaiting(Instant now);
+    void expireWaiting(Instant now);
+    int admissionLimit(GroupState &group, const std::string &key);
+    Duration expectedWait(GroupState &group, Urgency urgency, const std::string &key);
+    void finish(ActiveQuery &query, Answer answer, Instant now);
+    void remove(ActiveQuery &query, Instant now);
+
+    // Searches (SearchSteps.cpp).
+    void startSearch(ActiveQuery &query, Instant now);
+    void releaseCanary(ActiveQuery &query, Instant now);
+    void addParts(ActiveQuery &query, std::span<const PlannedPart> planned);
+    void mergeAnswer(ActiveQuery &query, QueryPart &part, const SubAnswer &answer, Instant now);
+    bool rerunOnNextSnapshot(ActiveQuery &query, Instant now);
+    void finishIfDone(ActiveQuery &query, Instant now);
+    void finishSearch(ActiveQuery &query, Reason reason, Instant now);
+    void planRemainder(ActiveQuery &query, const KeyRange &range);
+    void onDeadline(QueryId id, Instant now);
+
+    // Attempts (AttemptSteps.cpp).
+    void dispatch(ActiveQuery &query, std::size_t partIndex, Instant now);
+    bool sendAttempt(ActiveQuery &query, std::size_t partIndex, const ServerPointer &server, bool hedge, Instant now);
+    std::vector<ServerPointer> candidates(const ActiveQuery &query, const QueryPart &part, Instant now, bool &anyUsable) const;
+    void armHedge(ActiveQuery &query, std::size_t partIndex, Instant now);
+    void onHedgeDue(QueryId id, std::size_t partIndex, Instant now);
+    void onAttemptTimeout(QueryId id, AttemptId attempt, Instant now);
+    void onSubAnswered(const SubAnswered &event, Instant now);
+    void onSubFailed(const SubFailed &event, Instant now);
+    void retryOrGiveUp(ActiveQuery &query, std::size_t partIndex, SubFailure failure, Instant now);
+    bool mayExposeAnother(const ActiveQuery &query, Instant now);
+    void continueAfterFailedPart(ActiveQuery &query, Instant now);
+    void closeAttempt(PartAttempt &attempt);
+    void cancelOpenAttempts(ActiveQuery &query, QueryPart &part);
+    void dispatchWaiting(Instant now);
+    void waitForPermit(ActiveQuery &query, std::size_t partIndex, Instant now);
+
+    // Servers' health (ServerHealth.cpp).
+    void applyReport(ServerRecord &server, const ServerReport &report);
+    void recordGoodAnswer(ActiveQuery &query, ServerRecord &server, Duration latency, bool reportedCold, Instant now);
+    void recordFailure(ActiveQuery &query, ServerRecord &server, SubFailure failure, Instant now);
+    void markCold(ServerRecord &server, const BackendGroup &group);
+
+    // Actions that may run at most once (ActionSteps.cpp).
+    void startAction(ActiveQuery &query, Instant now);
+    void sendAction(ActiveQuery &query, Instant now);
+    void finishAction(ActiveQuery &query, RunState state, Reason reason, const std::string &outcome, Instant now);
+
+    GroupState &groupState(const std::string &key);
+    void report(Reason reason, QueryId query, std::string server = {});
+    ActiveQuery *find(QueryId id);
+
+    Published<Configuration>::Reader configuration;
+    Published<Topology>::Reader topology;
+    AdmissionGate &gate;
+    SuspectList &suspects;
+    pcg32 random;
+    TimerService timers;
+    std::vector<KernelAction> actions;
+    std::unordered_map<QueryId, QueryPointer> queries;
+    std::unordered_map<std::string, std::unique_ptr<GroupState>> groups;
+    AdmissionQueue queue;
+    /// Parts that wait for a permit, in order of arrival.
+    std::vector<std::pair<QueryId, std::size_t>> waitingParts;
+    /// Queries parked behind the canary of the same content.
+    std::unordered_map<std::uint64_t, std::vector<QueryId>> parkedBehindCanary;
+    bool waitTimerArmed = false;
+    bool queueTimerArmed = false;
+    bool draining = false;
+    /// Guards against handling the waiting lines from within themselves.
+    bool dispatchingWaiting = false;
+};
+
+} // namespace ragwort
+
+#endif
--- /dev/null
+++ b/include/ragwortcart/Kernel/ServerRecord.h
@@ -0,0 +1,108 @@
+/// \file
+/// What an entry instance knows of one backend server, shared by all its threads through atomics.
+#ifndef RAGWORTCART_KERNEL_SERVERRECORD_H
+#define RAGWORTCART_KERNEL_SERVERRECORD_H
+
+#include "ragwortcart/Support/Clock.h"
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+namespace ragwort {
+
+/// The unchanging part of a server's description, from the platform's instance list.
+struct ServerIdentity
+{
+    std::string id;
+    /// IP number and port.
+    std::string address;
+    std::string team;
+    std::string group;
+    std::string service;
+    std::string domain;
+};
+
+/// Live state of one backend server as seen from this instance.
+class ServerRecord
+{
+public:
+    explicit ServerRecord(ServerIdentity serverIdentity)
+        : identity(std::move(serverIdentity))
+    {
+    }
+
+    const ServerIdentity identity;
+
+    /// Why no new work may go to the server; zero when it may.
+    enum Barrier : std::uint32_t {
+        leaving = 1U << 0,
+        domainOut = 1U << 1,
+        instanceOut = 1U << 2,
+        draining = 1U << 3,
+        /// Outside this failure domain while the configuration is not known to be fresh.
+        notFresh = 1U << 4,
+        gone = 1U << 5,
+    };
+
+    bool hasBarrier() const
+    {
+        return this->barriers.load(std::memory_order_acquire) != 0;
+    }
+    void setBarrier(Barrier barrier, bool present);
+
+    /// Takes one of this instance's permits for a request in flight; false when its share is used up.
+    bool tryAcquire();
+    void release();
+
+    /// Permits in use if one more request were sent, relative to the limit in force.
+    bool hasPermit() const
+    {
+        return this->inFlight.load(std::memory_order_relaxed) < this->limit();
+    }
+
+    /// The limit in force: the warm share, or what the ramp allows during a cold start.
+    int limit() const;
+
+    /// Moving average of latency in microseconds; zero before the first answer.
+    std::int64_t meanLatencyUs() const
+    {
+        return this->latencyUs.load(std::memory_order_relaxed);
+    }
+    void recordLatency(Duration latency);
+
+    bool isEjected(Instant now) const
+    {
+        return now.time_since_epoch().count() < this->ejectedUntilUs.load(std::memory_order_relaxed);
+    }
+
+    std::atomic<std::uint32_t> barriers{0};
+    std::atomic<int> inFlight{0};
+    /// This instance's share of the server's connections; the shares of all instances sum to at most the server's limit.
+    std::atomic<int> warmShare{0};
+    /// This instance's share of what the server bears at the present level of its warm-up.
+    std::atomic<int> coldShare{0};
+    std::atomic<bool> cold{false};
+    /// Steps of the warm-up done; each doubles what the tier as a whole may send.
+    std::atomic<int> warmUpLevel{0};
+    /// True when this instance alone may send to the server at level zero and decides on the next level.
+    std::atomic<bool> coldOwner{false};
+    /// Good answers at the present level.
+    std::atomic<int> warmUpAnswers{0};
+    std::atomic<int> consecutiveSlow{0};
+    /// Last incarnation seen in a report; zero before the first.
+    std::atomic<std::uint64_t> incarnation{0};
+    /// Load that the server itself reported last.
+    std::atomic<int> reportedLoad{0};
+    std::atomic<std::int64_t> latencyUs{0};
+    std::atomic<int> consecutiveFailures{0};
+    /// Microseconds on the monotonic axis until which no request is sent, after repeated failures.
+    std::atomic<std::int64_t> ejectedUntilUs{0};
+    /// Requests sent and failures seen, for the state dump.
+    std::atomic<std::uint64_t> sent{0};
+    std::atomic<std::uint64_t> failed{0};
+};
+
+} // namespace ragwort
+
+#endif
--- /dev/null
+++ b/include/ragwortcart/Runtime/ControlPlane.h
@@ -0,0 +1,113 @@
+/// \file
+/// The control thread of an entry instance: follows the platform's store and list, keeps claims and the seat, and
+/// publishes configuration and topology to the request threads.
+#ifndef RAGWORTCART_RUNTIME_CONTROLPLANE_H
+#define RAGWORTCART_RUNTIME_CONTROLPLANE_H
+
+#include "ragwortcart/Control/ClaimBook.h"
+#include "ragwortcart/Control/ConfigurationKeeper.h"
+#include "ragwortcart/Control/Freshness.h"
+#include "ragwortcart/Control/SeatKeeper.h"
+#include "ragwortcart/Control/ServerDirectory.h"
+#include "ragwortcart/Runtime/Worker.h"
+#include "ragwortcart/Wire/PlatformClient.h"
+
+#include <QJsonObject>
+#include <QObject>
+#include <QTimer>
+#include <atomic>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace ragwort {
+
+/// Keys of the tier in the platform's store.
+inline constexpr std::string_view CONFIGURATION_PREFIX = "ragwort/config/";
+inline constexpr std::string_view SEATS_KEY = "ragwort/seats";
+inline constexpr std::string_view CLAIMS_PREFIX = "ragwort/claims/";
+
+/// Lives in the main thread. Workers reach it through `submit()`.
+class ControlPlane : public QObject
+{
+public:
+    struct Options
+    {
+        std::string instance;
+        std::string domain;
+        std::string platformAddress;
+        Published<Configuration> &configuration;
+        Published<Topology> &topology;
+        SuspectList &suspects;
+        MetricsRegistry &metrics;
+    };
+
+    explicit ControlPlane(const Options &options);
+
+    void setWorkers(const std::vector<Worker *> &workers);
+    void start();
+
+    /// Takes a worker's request over into the control thread. Any thread.
+    void submit(ControlRequest request);
+
+    /// True once configuration, instance list and seat are known and every group has a complete snapshot.
+    bool ready() const
+    {
+        return this->isReady.load(std::memory_order_acquire);
+    }
+
+    /// Gives the seat back after the last query; \p done runs once, at the latest after a second.
+    void release(const std::function<void()> &done);
+
+    bool claimsSettled() const
+    {
+        return this->claims.idle();
+    }
+
+    QJsonObject dump() const;
+
+private:
+    void watchConfiguration(std::uint64_t index);
+    void onConfiguration(const Result<KeyValues> &values, Instant askedAt, std::uint64_t index);
+    void watchInstances(const std::string &service, std::uint64_t index);
+    void onServers(const PlatformInstances &listed);
+    void onEntries(const PlatformInstances &listed);
+    void readSeats();
+    void tryTakeSeat();
+    void pollServers();
+    void onStatus(const ServerStatus &status, Instant observedAt);
+    void offer(const std::string &name, const QByteArray &json, const std::string &source);
+    void rebuild();
+    void scheduleRebuild();
+    void tick();
+    void updateReadiness();
+    void handle(const ControlRequest &request);
+    void performClaimActions();
+    void readBucket(int bucket);
+    void writeBucket(const WriteBucket &write);
+    void accuse(const AccuseContent &accusation);
+    void toWorkerOf(QueryId query, KernelEvent event);
+
+    Options options;
+    PlatformClient platform;
+    ConfigurationKeeper keeper;
+    ServerDirectory directory;
+    SeatKeeper seats;
+    ClaimBook claims;
+    Freshness freshness;
+    std::vector<Worker *> workers;
+    QTimer ticker;
+    QTimer claimTimer;
+    bool listedServers = false;
+    bool listedEntries = false;
+    bool seatCallRunning = false;
+    bool rebuildScheduled = false;
+    Instant nextPoll{};
+    std::uint64_t tickCount = 0;
+    std::atomic<bool> isReady{false};
+};
+
+} // namespace ragwort
+
+#endif
--- /dev/null
+++ b/include/ragwortcart/Support/Log.h
@@ -0,0 +1,37 @@
+/// \file
+/// Structured logs: one line of key=value pairs for each event, written through log4cxx to standard error.
+#ifndef RAGWORTCART_SUPPORT_LOG_H
+#define RAGWORTCART_SUPPORT_LOG_H
+
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace ragwort {
+
+enum class LogLevel { debug, info, warning, error };
+
+struct LogField
+{
+    std::string_view key;
+    std::string value;
+};
+
+/// Configures the process's log. \p process and \p instance appear on every line.
+void initializeLog(std::string_view process, std::string_view instance, LogLevel threshold);
+
+/// Writes `event=EVENT key=value ...`; values with spaces, quotes or control characters are quoted and escaped.
+void logEvent(LogLevel level, std::string_view event, std::span<const LogField> fields);
+
+inline void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    logEvent(level, event, std::span<const LogField>(fields.begin(), fields.size()));
+}
+
+/// Formats the fields as they appear in a log line; exposed for tests.
+std::string formatLogFields(std::span<const LogField> fields);
+
+} // namespace ragwort
+
+#endif
--- /dev/null
+++ b/include/ragwortcart/Wire/CallerCodec.h
@@ -0,0 +1,49 @@
+/// \file
+/// The callers' HTTP interface: from a request to a query, from an answer to a response.
+#ifndef RAGWORTCART_WIRE_CALLERCODEC_H
+#define RAGWORTCART_WIRE_CALLERCODEC_H
+
+#include "ragwortcart/Model/Configuration.h"
+#include "ragwortcart/Model/Query.h"
+#include "ragwortcart/Wire/HttpServer.h"
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace ragwort {
+
+/// Bounds of what a caller may ask for.
+inline constexpr int MAXIMUM_RESULT_LIMIT = 1000;
+inline constexpr std::size_t MAXIMUM_QUERY_BYTES = 4096;
+inline constexpr std::size_t MAXIMUM_KEY_BYTES = 200;
+
+/// RFC 9457 problem details, with the members `run` and `reason` added.
+struct Problem
+{
+    int status = 400;
+    std::string title;
+    std::string detail;
+    RunState run = RunState::notRun;
+    std::string reason;
+    Duration retryAfter{};
+    std::string queryId;
+};
+
+HttpResponse encodeProblem(const Problem &problem);
+
+/// Checks a caller's request against the configuration. The query has no id yet.
+std::variant<QueryRequest, HttpResponse> decodeCallerRequest(const HttpRequest &request, const Configuration &configuration, Instant now);
+
+struct AnswerContext
+{
+    std::string instance;
+    bool repeatable = true;
+    Duration elapsed{};
+};
+
+HttpResponse encodeAnswer(const Answer &answer, const AnswerContext &context);
+
+} // namespace ragwort
+
+#endif
--- /dev/null
+++ b/lib/Control/SeatKeeper.cpp
@@ -0,0 +1,121 @@
+/// \file
+/// Choice and takeover of seats.
+#include "ragwortcart/Control/SeatKeeper.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+namespace ragwort {
+
+std::string encodeSeats(const SeatTable &table)
+{
+    QJsonObject object;
+    for (const auto &[seat, holder] : table) {
+        object.insert(QString::number(seat), QString::fromStdString(holder));
+    }
+    return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+}
+
+std::optional<SeatTable> decodeSeats(const std::string &json)
+{
+    QJsonParseError error{};
+    const QJsonDocument document = QJsonDocument::fromJson(QByteArray::fromStdString(json), &error);
+    if (error.error != QJsonParseError::NoError || !document.isObject()) {
+        return std::nullopt;
+    }
+    SeatTable table;
+    const QJsonObject object = document.object();
+    for (auto entry = object.begin(); entry != object.end(); ++entry) {
+        table[entry.key().toInt()] = entry.value().toString().toStdString();
+    }
+    return table;
+}
+
+SeatKeeper::SeatKeeper(std::string ownInstance)
+    : instance(std::move(ownInstance))
+{
+}
+
+void SeatKeeper::noteTable(const SeatTable &newTable, std::uint64_t index)
+{
+    if (this->tableKnown && index < this->tableIndex) {
+        // A stale read must not bring back a seat that has been given away.
+        return;
+    }
+    this->table = newTable;
+    this->tableIndex = index;
+    this->tableKnown = true;
+    this->ownSeat = -1;
+    for (const auto &[seat, holder] : this->table) {
+        if (holder == this->instance) {
+            this->ownSeat = seat;
+        }
+    }
+}
+
+void SeatKeeper::noteLiveInstances(const std::set<std::string> &live, Instant now)
+{
+    this->listKnown = true;
+    this->everListed.insert(live.begin(), live.end());
+    std::map<std::string, Instant> missing;
+    for (const auto &[seat, holder] : this->table) {
+        if (live.contains(holder)) {
+            continue;
+        }
+        const auto before = this->missingSince.find(holder);
+        missing[holder] = before == this->missingSince.end() ? now : before->second;
+    }
+    this->missingSince = std::move(missing);
+}
+
+std::optional<int> SeatKeeper::freeSeat(int seats, Instant now) const
+{
+    for (int seat = 0; seat < seats; ++seat) {
+        if (!this->table.contains(seat)) {
+            return seat;
+        }
+    }
+    for (const auto &[seat, holder] : this->table) {
+        const auto missing = this->missingSince.find(holder);
+        const Duration delay = this->everListed.contains(holder) ? SEAT_TAKEOVER_DELAY : SEAT_UNLISTED_DELAY;
+        if (seat < seats && missing != this->missingSince.end() && now - missing->second >= delay) {
+            return seat;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<SeatWrite> SeatKeeper::wantedWrite(int seats, Instant now) const
+{
+    if (!this->tableKnown || !this->listKnown || this->ownSeat >= 0) {
+        return std::nullopt;
+    }
+    const std::optional<int> seat = this->freeSeat(seats, now);
+    if (!seat) {
+        return std::nullopt;
+    }
+    SeatTable next = this->table;
+    next[*seat] = this->instance;
+    return SeatWrite{.value = encodeSeats(next), .expectedIndex = this->tableIndex};
+}
+
+std::optional<SeatWrite> SeatKeeper::releaseWrite() const
+{
+    if (this->ownSeat < 0) {
+        return std::nullopt;
+    }
+    SeatTable next = this->table;
+    next.erase(this->ownSeat);
+    return SeatWrite{.value = encodeSeats(next), .expectedIndex = this->tableIndex};
+}
+
+std::vector<std::string> SeatKeeper::holders() const
+{
+    std::vector<std::string> names;
+    for (const auto &[seat, holder] : this->table) {
+        names.push_back(holder);
+    }
+    return names;
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Control/ServerDirectory.cpp
@@ -0,0 +1,226 @@
+/// \file
+/// Assembly of the topology.
+#include "ragwortcart/Control/ServerDirectory.h"
+
+#include "ragwortcart/Support/Hash.h"
+
+#include <algorithm>
+
+namespace ragwort {
+
+ServerDirectory::ServerDirectory(std::string ownInstance, std::string ownDomain)
+    : instance(std::move(ownInstance))
+    , domain(std::move(ownDomain))
+{
+}
+
+static bool sameServer(const ListedServer &left, const ListedServer &right)
+{
+    return left.leaving == right.leaving && left.identity.id == right.identity.id && left.identity.address == right.identity.address
+        && left.identity.domain == right.identity.domain && left.identity.service == right.identity.service;
+}
+
+static bool sameEntry(const ListedEntry &left, const ListedEntry &right)
+{
+    return left.id == right.id && left.domain == right.domain && left.peerAddress == right.peerAddress && left.leaving == right.leaving;
+}
+
+bool ServerDirectory::setServers(std::vector<ListedServer> listed)
+{
+    if (std::equal(listed.begin(), listed.end(), this->listedServers.begin(), this->listedServers.end(), sameServer)) {
+        return false;
+    }
+    this->listedServers = std::move(listed);
+    std::map<std::string, std::shared_ptr<ServerRecord>, std::less<>> kept;
+    for (const ListedServer &server : this->listedServers) {
+        const auto found = this->records.find(server.identity.id);
+        const bool same = found != this->records.end() && found->second->identity.address == server.identity.address;
+        kept[server.identity.id] = same ? found->second : std::make_shared<ServerRecord>(server.identity);
+    }
+    for (const auto &[id, record] : this->records) {
+        const auto found = kept.find(id);
+        if (found == kept.end() || found->second != record) {
+            record->setBarrier(ServerRecord::gone, true);
+            this->observed.erase(id);
+        }
+    }
+    this->records = std::move(kept);
+    return true;
+}
+
+bool ServerDirectory::setEntries(std::vector<ListedEntry> listed)
+{
+    if (std::equal(listed.begin(), listed.end(), this->listedEntries.begin(), this->listedEntries.end(), sameEntry)) {
+        return false;
+    }
+    this->listedEntries = std::move(listed);
+    return true;
+}
+
+bool ServerDirectory::setConfiguration(std::shared_ptr<const Configuration> next)
+{
+    const bool changed = next != this->configuration;
+    this->configuration = std::move(next);
+    return changed;
+}
+
+bool ServerDirectory::setSeat(int number, int count)
+{
+    const bool changed = this->shares.seat != number || this->shares.seats != count;
+    this->shares.seat = number;
+    this->shares.seats = count;
+    return changed;
+}
+
+bool ServerDirectory::setSeatHolders(std::vector<std::string> holders)
+{
+    const bool changed = holders != this->seatHolders;
+    this->seatHolders = std::move(holders);
+    return changed;
+}
+
+bool ServerDirectory::setCrossDomainAllowed(bool allowed)
+{
+    const bool changed = allowed != this->crossDomainAllowed;
+    this->crossDomainAllowed = allowed;
+    return changed;
+}
+
+static bool sameSnapshots(const std::vector<HeldSnapshot> &left, const std::vector<HeldSnapshot> &right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](const HeldSnapshot &one, const HeldSnapshot &other) {
+        return one.id == other.id && one.range == other.range && one.documents == other.documents && one.totalDocuments == other.totalDocuments;
+    });
+}
+
+bool ServerDirectory::noteStatus(const ServerStatus &status, Instant observedAt)
+{
+    const auto record = this->records.find(status.serverId);
+    if (record == this->records.end()) {
+        return false;
+    }
+    const auto found = this->observed.find(status.serverId);
+    if (found != this->observed.end() && found->second.observedAt >= observedAt) {
+        return false;
+    }
+    const bool changed = found == this->observed.end() || !sameSnapshots(found->second.status.snapshots, status.snapshots);
+    this->observed[status.serverId] = {.status = status, .observedAt = observedAt};
+    ServerRecord &server = *record->second;
+    server.setBarrier(ServerRecord::draining, status.report.draining);
+    server.reportedLoad.store(status.report.load, std::memory_order_relaxed);
+    const std::uint64_t before = server.incarnation.exchange(status.report.incarnation);
+    const bool restarted = before != 0 && before != status.report.incarnation;
+    if (restarted || (status.report.cold && !server.cold.load())) {
+        server.warmUpLevel.store(0);
+        server.warmUpAnswers.store(0);
+        server.cold.store(true, std::memory_order_release);
+        return true;
+    }
+    return changed;
+}
+
+std::shared_ptr<ServerRecord> ServerDirectory::findServer(std::string_view id) const
+{
+    const auto found = this->records.find(id);
+    return found == this->records.end() ? nullptr : found->second;
+}
+
+std::string ServerDirectory::coldOwner(std::string_view serverId) const
+{
+    if (this->seatHolders.empty()) {
+        return {};
+    }
+    return this->seatHolders[rendezvousWinner(serverId, this->seatHolders)];
+}
+
+std::vector<std::shared_ptr<ServerRecord>> ServerDirectory::serversToPoll() const
+{
+    std::vector<std::string> everywhere;
+    std::map<std::string, std::vector<std::string>> byDomain;
+    for (const ListedEntry &entry : this->listedEntries) {
+        if (!entry.leaving) {
+            everywhere.push_back(entry.id);
+            byDomain[entry.domain].push_back(entry.id);
+        }
+    }
+    std::vector<std::shared_ptr<ServerRecord>> chosen;
+    for (const auto &[id, record] : this->records) {
+        const std::vector<std::string> &local = byDomain[record->identity.domain];
+        const std::vector<std::string> &pollers = local.empty() ? everywhere : local;
+        if (pollers.empty() || pollers[rendezvousWinner(id, pollers)] == this->instance) {
+            chosen.push_back(record);
+        }
+    }
+    return chosen;
+}
+
+void ServerDirectory::applyBarriers(ServerRecord &record, const ListedServer &listed) const
+{
+    const TierConfiguration &tier = this->configuration->tier;
+    record.setBarrier(ServerRecord::leaving, listed.leaving);
+    record.setBarrier(ServerRecord::domainOut, tier.domainsOut.contains(record.identity.domain));
+    record.setBarrier(ServerRecord::instanceOut, tier.instancesOut.contains(record.identity.id));
+    record.setBarrier(ServerRecord::notFresh, !this->crossDomainAllowed && record.identity.domain != this->domain);
+}
+
+void ServerDirectory::addSnapshots(GroupTopology &group, const std::shared_ptr<ServerRecord> &record) const
+{
+    const auto found = this->observed.find(record->identity.id);
+    if (found == this->observed.end()) {
+        return;
+    }
+    for (const HeldSnapshot &held : found->second.status.snapshots) {
+        auto layout = std::find_if(group.snapshots.begin(), group.snapshots.end(), [&held](const SnapshotLayout &candidate) { return candidate.id == held.id; });
+        if (layout == group.snapshots.end()) {
+            layout = group.snapshots.insert(group.snapshots.end(), SnapshotLayout{.id = held.id});
+        }
+        layout->totalDocuments = std::max(layout->totalDocuments, held.totalDocuments);
+        auto shard = std::find_if(layout->shards.begin(), layout->shards.end(), [&held](const Shard &candidate) { return candidate.range == held.range; });
+        if (shard == layout->shards.end()) {
+            shard = layout->shards.insert(layout->shards.end(), Shard{.range = held.range, .documents = held.documents, .replicas = {}});
+        }
+        shard->replicas.push_back(record);
+    }
+}
+
+static void sortLayouts(GroupTopology &group)
+{
+    std::sort(group.snapshots.begin(), group.snapshots.end(), [](const SnapshotLayout &left, const SnapshotLayout &right) { return left.id > right.id; });
+    for (SnapshotLayout &layout : group.snapshots) {
+        std::sort(layout.shards.begin(), layout.shards.end(), [](const Shard &left, const Shard &right) {
+            return left.range.begin != right.range.begin ? left.range.begin < right.range.begin : left.replicas.size() > right.replicas.size();
+        });
+    }
+}
+
+std::shared_ptr<const Topology> ServerDirectory::build()
+{
+    auto topology = std::make_shared<Topology>();
+    topology->version = ++this->version;
+    topology->shares = this->shares;
+    const auto live = std::count_if(this->listedEntries.begin(), this->listedEntries.end(), [](const ListedEntry &entry) { return !entry.leaving; });
+    topology->liveInstances = std::max(1, static_cast<int>(live));
+    for (const ListedServer &listed : this->listedServers) {
+        const std::shared_ptr<ServerRecord> &record = this->records[listed.identity.id];
+        this->applyBarriers(*record, listed);
+        const TeamConfiguration *team = this->configuration->findTeam(listed.identity.team);
+        const BackendGroup *settings = team == nullptr ? nullptr : team->findGroup(listed.identity.group);
+        if (settings == nullptr) {
+            continue;
+        }
+        const bool owner = this->coldOwner(listed.identity.id) == this->instance;
+        updateShares(*record, *settings, this->shares.forServer(owner));
+        GroupTopology &group = topology->groups[groupKey(listed.identity.team, listed.identity.group)];
+        group.team = listed.identity.team;
+        group.group = listed.identity.group;
+        group.servers.push_back(record);
+        topology->servers[listed.identity.id] = record;
+        this->addSnapshots(group, record);
+    }
+    for (auto &[key, group] : topology->groups) {
+        sortLayouts(group);
+    }
+    return topology;
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Emulator/FakeBackendFleet.cpp
@@ -0,0 +1,217 @@
+/// \file
+/// The emulated servers of a plan together, and the orders that they take.
+#include "ragwortcart/Emulator/FakeBackend.h"
+
+#include <QByteArray>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <algorithm>
+
+namespace ragwort {
+
+/// Snapshots that a server keeps, the newest included.
+static constexpr std::size_t KEPT_SNAPSHOTS = 2;
+static constexpr int SHIFT_PARTS = 8;
+
+FakeIndex::FakeIndex(const PlannedGroup &group)
+    : services(group.services)
+    , documents(group.documents)
+{
+}
+
+HeldSnapshot FakeIndex::part(SnapshotId snapshot, int service) const
+{
+    const auto found = this->shifts.find(snapshot);
+    const int shift = found == this->shifts.end() ? 0 : found->second;
+    const DocumentKey width = KEY_SPACE_END / static_cast<DocumentKey>(this->services);
+    const auto boundary = [this, width, shift](int index) {
+        if (index <= 0) {
+            return DocumentKey{0};
+        }
+        if (index >= this->services) {
+            return KEY_SPACE_END;
+        }
+        return width * static_cast<DocumentKey>(index) + width / SHIFT_PARTS * static_cast<DocumentKey>(shift);
+    };
+    const KeyRange range{.begin = boundary(service), .end = boundary(service + 1)};
+    return {.id = snapshot, .range = range, .documents = documentsIn(range, this->documents), .totalDocuments = this->documents};
+}
+
+SnapshotId FakeIndex::publish(bool shift)
+{
+    const int previous = this->shifts[this->lastSnapshot];
+    ++this->lastSnapshot;
+    this->shifts[this->lastSnapshot] = shift ? (previous + 1) % (SHIFT_PARTS / 2) : previous;
+    return this->lastSnapshot;
+}
+
+FakeBackendFleet::FakeBackendFleet(EventLoop &eventLoop, const Options &options)
+    : loop(eventLoop)
+    , plan(options.plan)
+    , control(eventLoop, {.address = options.controlAddress}, [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
+        this->handleOrder(request, exchange);
+    })
+{
+    for (const PlannedGroup &group : this->plan.groups) {
+        this->indexes.emplace_back(group);
+    }
+    std::uint64_t seed = options.seed;
+    for (const PlannedServer &planned : this->plan.servers) {
+        auto server = std::make_unique<FakeServer>(this->loop, planned, this->plan.groups[planned.groupIndex], ++seed);
+        server->setSnapshots({this->indexes[planned.groupIndex].part(1, planned.serviceIndex)});
+        this->servers.push_back(std::move(server));
+    }
+}
+
+Result<std::uint16_t> FakeBackendFleet::start()
+{
+    for (const auto &server : this->servers) {
+        const Result<std::uint16_t> port = server->start();
+        if (!port) {
+            return port;
+        }
+    }
+    return this->control.listen();
+}
+
+void FakeBackendFleet::stop()
+{
+    for (const auto &server : this->servers) {
+        server->stop();
+    }
+    this->control.abort();
+}
+
+static bool matches(const PlannedServer &server, const std::string &pattern)
+{
+    return pattern == "*" || server.id == pattern || server.domain == pattern || server.service == pattern || server.group == pattern;
+}
+
+static void applyTo(FakeServer &server, const QJsonObject &order)
+{
+    BackendFaults &faults = server.faults;
+    faults.slowFactor = order.value("slow_factor").toDouble(faults.slowFactor);
+    faults.stragglerShare = order.value("straggler_share").toDouble(faults.stragglerShare);
+    faults.closeAfterRead = order.value("close_after_read").toInt(faults.closeAfterRead);
+    faults.frozen = order.value("frozen").toBool(faults.frozen);
+    faults.shedAll = order.value("shed").toBool(faults.shedAll);
+    faults.lyingReports = order.value("lying").toBool(faults.lyingReports);
+    faults.draining = order.value("draining").toBool(faults.draining);
+    if (order.value("silence").toBool()) {
+        faults.silentConnections = server.connectionsSoFar();
+    }
+    if (order.contains("crash_ms")) {
+        server.crash(std::chrono::milliseconds(order.value("crash_ms").toInt()));
+    }
+    if (order.contains("cold")) {
+        server.turnCold(order.value("cold").toString() != "unannounced");
+    }
+}
+
+std::string FakeBackendFleet::applyFaults(const std::string &json)
+{
+    const QJsonObject order = QJsonDocument::fromJson(QByteArray::fromStdString(json)).object();
+    const std::string pattern = order.value("match").toString().toStdString();
+    // Every n-th matching server only, for faults that strike a part of the fleet.
+    const int every = std::max(order.value("every").toInt(1), 1);
+    int matched = 0;
+    int applied = 0;
+    for (const auto &server : this->servers) {
+        if (matches(server->planned, pattern) && matched++ % every == 0) {
+            applyTo(*server, order);
+            ++applied;
+        }
+    }
+    return R"({"servers":)" + std::to_string(applied) + '}';
+}
+
+std::string FakeBackendFleet::publishSnapshot(const std::string &json)
+{
+    const QJsonObject order = QJsonDocument::fromJson(QByteArray::fromStdString(json)).object();
+    const std::string name = order.value("group").toString().toStdString();
+    const bool shift = order.value("repartition").toBool();
+    // With "part" below 1 only so many of the replicas get the new snapshot at once.
+    const int replicas = order.value("replicas").toInt(1000);
+    SnapshotId published = 0;
+    for (std::size_t index = 0; index < this->indexes.size(); ++index) {
+        if (this->plan.groups[index].name != name) {
+            continue;
+        }
+        FakeIndex &fakeIndex = this->indexes[index];
+        published = order.value("continue").toBool() ? fakeIndex.newest() : fakeIndex.publish(shift);
+        std::map<int, int> served;
+        for (const auto &server : this->servers) {
+            if (server->planned.groupIndex != index || served[server->planned.serviceIndex]++ >= replicas) {
+                continue;
+            }
+            std::vector<HeldSnapshot> held = server->status().snapshots;
+            if (!held.empty() && held.back().id == published) {
+                continue;
+            }
+            held.push_back(fakeIndex.part(published, server->planned.serviceIndex));
+            if (held.size() > KEPT_SNAPSHOTS) {
+                held.erase(held.begin());
+            }
+            server->setSnapshots(std::move(held));
+        }
+    }
+    return R"({"snapshot":)" + std::to_string(published) + '}';
+}
+
+std::string FakeBackendFleet::describeCounts() const
+{
+    QJsonArray array;
+    for (const auto &server : this->servers) {
+        const BackendCounts counts = server->countsNow();
+        int duplicates = 0;
+        for (const auto &[key, runs] : server->actionRuns) {
+            duplicates += runs - 1;
+        }
+        array.append(QJsonObject{{"server", QString::fromStdString(server->planned.id)},
+                                 {"domain", QString::fromStdString(server->planned.domain)},
+                                 {"group", QString::fromStdString(server->planned.group)},
+                                 {"received", static_cast<qint64>(counts.received)},
+                                 {"executed", static_cast<qint64>(counts.executed)},
+                                 {"shed", static_cast<qint64>(counts.shed)},
+                                 {"cancelled", static_cast<qint64>(counts.cancelled)},
+                                 {"crashes", static_cast<qint64>(counts.crashes)},
+                                 {"refused_connections", static_cast<qint64>(counts.refusedConnections)},
+                                 {"most_connections", static_cast<qint64>(counts.mostConnections)},
+                                 {"most_while_cold", counts.mostWhileCold},
+                                 {"received_while_draining", static_cast<qint64>(counts.receivedWhileDraining)},
+                                 {"actions", static_cast<qint64>(server->actionRuns.size())},
+                                 {"duplicate_actions", duplicates}});
+    }
+    return QJsonDocument(array).toJson(QJsonDocument::Compact).toStdString();
+}
+
+void FakeBackendFleet::handleOrder(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange)
+{
+    if (request.target == "/fake/counts") {
+        exchange->respond({.status = 200, .headers = {}, .body = this->describeCounts()});
+        return;
+    }
+    if (request.target == "/fake/faults") {
+        exchange->respond({.status = 200, .headers = {}, .body = this->applyFaults(request.body)});
+        return;
+    }
+    if (request.target == "/fake/snapshot") {
+        exchange->respond({.status = 200, .headers = {}, .body = this->publishSnapshot(request.body)});
+        return;
+    }
+    if (request.target == "/fake/actions") {
+        QJsonObject runs;
+        for (const auto &server : this->servers) {
+            for (const auto &[key, count] : server->actionRuns) {
+                const QString name = QString::fromStdString(key);
+                runs.insert(name, runs.value(name).toInt() + count);
+            }
+        }
+        exchange->respond({.status = 200, .headers = {}, .body = QJsonDocument(runs).toJson(QJsonDocument::Compact).toStdString()});
+        return;
+    }
+    exchange->respond({.status = 404, .headers = {}, .body = "{}"});
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Emulator/FakePlatform.cpp
@@ -0,0 +1,307 @@
+/// \file
+/// HTTP face of the emulated platform.
+#include "ragwortcart/Emulator/FakePlatform.h"
+
+#include <QByteArray>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QUrl>
+#include <QUrlQuery>
+
+namespace ragwort {
+
+static constexpr std::string_view KEY_PATH = "/v1/kv/";
+static constexpr std::string_view LIST_PATH = "/v1/health/service/";
+static constexpr std::string_view LEASE_PATH = "/v1/session/";
+static constexpr Duration WATCH_CHECK_INTERVAL = std::chrono::milliseconds(200);
+static constexpr Duration DEFAULT_WATCH_TIME = std::chrono::seconds(60);
+
+static HttpResponse jsonResponse(const QJsonDocument &document)
+{
+    return {.status = 200, .contentType = "application/json", .headers = {}, .body = document.toJson(QJsonDocument::Compact).toStdString()};
+}
+
+static HttpResponse plain(int status, const std::string &body)
+{
+    return {.status = status, .contentType = "text/plain", .headers = {}, .body = body};
+}
+
+FakePlatform::FakePlatform(EventLoop &eventLoop, const std::string &address, const FleetPlan &plan)
+    : loop(eventLoop)
+    , server(eventLoop,
+             {.address = address, .maximumBodyBytes = STORE_MAXIMUM_VALUE_BYTES + 1024, .maximumConnections = 5000, .maximumConnectionsPerAddress = 5000},
+             [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) { this->handle(std::move(request), std::move(exchange)); })
+{
+    for (const PlannedServer &planned : plan.servers) {
+        this->instances.push_back({.service = "ragwort-backend",
+                                   .id = planned.id,
+                                   .address = planned.address,
+                                   .meta = {{"team", planned.team}, {"group", planned.group}, {"service", planned.service}, {"domain", planned.domain}}});
+    }
+    for (const PlannedEntry &planned : plan.entries) {
+        this->instances.push_back({.service = "ragwort-entry",
+                                   .id = planned.id,
+                                   .address = planned.peerAddress,
+                                   .meta = {{"domain", planned.domain}, {"operators", planned.operatorAddress}, {"callers", planned.callerAddress}}});
+    }
+}
+
+Result<std::uint16_t> FakePlatform::listen()
+{
+    const Result<std::uint16_t> port = this->server.listen();
+    if (port) {
+        this->checkWatches();
+    }
+    return port;
+}
+
+FakePlatform::Target FakePlatform::parseTarget(const std::string &target)
+{
+    const QUrl url = QUrl::fromEncoded(QByteArray::fromStdString(target), QUrl::StrictMode);
+    Target parsed{.path = url.path().toStdString(), .query = {}};
+    const QUrlQuery query(url);
+    for (const auto &[key, value] : query.queryItems(QUrl::FullyDecoded)) {
+        parsed.query[key.toStdString()] = value.toStdString();
+    }
+    return parsed;
+}
+
+void FakePlatform::handle(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
+{
+    if (request.target.starts_with("/fake/")) {
+        this->serveOrder(request, parseTarget(request.target), exchange);
+        return;
+    }
+    if (this->faults.outage) {
+        ++this->counts.refusedByOutage;
+        // The exchange is kept unanswered by its caller's connection; it ends with the caller's timeout.
+        exchange->onAbandoned([exchange] {});
+        return;
+    }
+    if (this->faults.delay > Duration::zero()) {
+        this->loop.callAfter(this->faults.delay, [this, request = std::move(request), exchange] { this->serve(request, exchange); });
+        return;
+    }
+    this->serve(request, exchange);
+}
+
+void FakePlatform::serve(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange)
+{
+    this->store.expireLeases(steadyNow());
+    const Target target = parseTarget(request.target);
+    if (target.path.starts_with(LEASE_PATH)) {
+        this->serveLease(request, target, exchange);
+    } else if (request.method == "GET") {
+        this->serveRead(request, target, exchange);
+    } else {
+        this->serveWrite(request, target, exchange);
+    }
+}
+
+std::uint64_t FakePlatform::watchedIndex(const Target &target) const
+{
+    if (target.path.starts_with(LIST_PATH)) {
+        return this->listIndex;
+    }
+    return this->store.indexOf(target.path.substr(KEY_PATH.size()));
+}
+
+void FakePlatform::serveRead(const HttpRequest &request, const Target &target, const std::shared_ptr<HttpExchange> &exchange)
+{
+    ++this->counts.reads;
+    const auto index = target.query.find("index");
+    if (index != target.query.end() && std::stoull('0' + index->second) >= this->watchedIndex(target)) {
+        const auto wait = target.query.find("wait");
+        const std::optional<Duration> time = wait == target.query.end() ? std::nullopt : parseDuration(wait->second);
+        ++this->counts.watches;
+        this->watches.push_back({.request = request,
+                                 .exchange = exchange,
+                                 .index = std::stoull('0' + index->second),
+                                 .deadline = steadyNow() + time.value_or(DEFAULT_WATCH_TIME)});
+        return;
+    }
+    HttpResponse response = plain(404, "");
+    if (target.path.starts_with(LIST_PATH)) {
+        response = this->readInstances(target.path.substr(LIST_PATH.size()));
+    } else if (target.path.starts_with(KEY_PATH)) {
+        response = this->readKeys(target);
+    }
+    response.headers.push_back({.name = "X-Consul-Index", .value = std::to_string(this->watchedIndex(target))});
+    exchange->respond(std::move(response));
+}
+
+HttpResponse FakePlatform::readKeys(const Target &target) const
+{
+    const std::string key = target.path.substr(KEY_PATH.size());
+    std::vector<StoredEntry> found;
+    if (target.query.contains("recurse")) {
+        found = this->store.list(key);
+    } else if (const std::optional<StoredEntry> entry = this->store.get(key)) {
+        found.push_back(*entry);
+    }
+    if (found.empty()) {
+        return plain(404, "");
+    }
+    QJsonArray array;
+    for (const StoredEntry &entry : found) {
+        array.append(QJsonObject{{"Key", QString::fromStdString(entry.key)},
+                                 {"Value", QString::fromLatin1(QByteArray::fromStdString(entry.value).toBase64())},
+                                 {"CreateIndex", static_cast<qint64>(entry.createIndex)},
+                                 {"ModifyIndex", static_cast<qint64>(entry.modifyIndex)},
+                                 {"Session", QString::fromStdString(entry.lease)}});
+    }
+    return jsonResponse(QJsonDocument(array));
+}
+
+HttpResponse FakePlatform::readInstances(const std::string &service) const
+{
+    QJsonArray array;
+    for (const ListedInstance &instance : this->instances) {
+        if (instance.service != service || instance.state == "gone") {
+            continue;
+        }
+        QJsonObject meta{{"state", QString::fromStdString(instance.state)}};
+        for (const auto &[key, value] : instance.meta) {
+            meta.insert(QString::fromStdString(key), QString::fromStdString(value));
+        }
+        const std::size_t colon = instance.address.rfind(':');
+        const QJsonObject described{{"ID", QString::fromStdString(instance.id)},
+                                    {"Service", QString::fromStdString(instance.service)},
+                                    {"Address", QString::fromStdString(instance.address.substr(0, colon))},
+                                    {"Port", std::stoi(instance.address.substr(colon + 1))},
+                                    {"Meta", meta}};
+        array.append(QJsonObject{{"Service", described}});
+    }
+    return jsonResponse(QJsonDocument(array));
+}
+
+void FakePlatform::serveWrite(const HttpRequest &request, const Target &target, const std::shared_ptr<HttpExchange> &exchange)
+{
+    if (!target.path.starts_with(KEY_PATH)) {
+        exchange->respond(plain(404, ""));
+        return;
+    }
+    ++this->counts.writes;
+    const std::string key = target.path.substr(KEY_PATH.size());
+    std::optional<std::uint64_t> expected;
+    if (const auto cas = target.query.find("cas"); cas != target.query.end()) {
+        expected = std::stoull('0' + cas->second);
+    }
+    bool written = false;
+    if (request.method == "DELETE") {
+        written = this->store.remove(key, expected);
+    } else if (const auto lease = target.query.find("acquire"); lease != target.query.end()) {
+        written = this->store.acquire(key, request.body, lease->second, steadyNow());
+    } else {
+        written = this->store.put(key, request.body, expected);
+    }
+    this->answerWrite(exchange, written);
+    this->wakeWatches();
+}
+
+void FakePlatform::answerWrite(const std::shared_ptr<HttpExchange> &exchange, bool written)
+{
+    if (this->faults.loseWriteAnswers > 0) {
+        --this->faults.loseWriteAnswers;
+        exchange->drop();
+        return;
+    }
+    exchange->respond(plain(200, written ? "true" : "false"));
+}
+
+void FakePlatform::serveLease(const HttpRequest &request, const Target &target, const std::shared_ptr<HttpExchange> &exchange)
+{
+    ++this->counts.writes;
+    const std::string step = target.path.substr(LEASE_PATH.size());
+    if (step == "create") {
+        const QJsonObject body = QJsonDocument::fromJson(QByteArray::fromStdString(request.body)).object();
+        const Duration lifetime = parseDuration(body.value("TTL").toString("10s").toStdString()).value_or(std::chrono::seconds(10));
+        const std::string id = this->store.createLease(lifetime, steadyNow());
+        exchange->respond(jsonResponse(QJsonDocument(QJsonObject{{"ID", QString::fromStdString(id)}})));
+        return;
+    }
+    const std::size_t slash = step.find('/');
+    const std::string id = slash == std::string::npos ? std::string() : step.substr(slash + 1);
+    if (step.starts_with("renew/")) {
+        exchange->respond(this->store.renewLease(id, steadyNow()) ? plain(200, "[]") : plain(404, "lapsed"));
+        return;
+    }
+    if (step.starts_with("destroy/")) {
+        this->store.destroyLease(id);
+        this->answerWrite(exchange, true);
+        this->wakeWatches();
+        return;
+    }
+    exchange->respond(plain(404, ""));
+}
+
+void FakePlatform::wakeWatches()
+{
+    const Instant now = steadyNow();
+    std::list<Watch> ready;
+    for (auto watch = this->watches.begin(); watch != this->watches.end();) {
+        const bool changed = this->watchedIndex(parseTarget(watch->request.target)) > watch->index;
+        const auto current = watch++;
+        if (changed || current->deadline <= now) {
+            ready.splice(ready.end(), this->watches, current);
+        }
+    }
+    for (Watch &watch : ready) {
+        Target target = parseTarget(watch.request.target);
+        target.query.erase("index");
+        this->serveRead(watch.request, target, watch.exchange);
+    }
+}
+
+void FakePlatform::checkWatches()
+{
+    this->wakeWatches();
+    this->loop.callAfter(WATCH_CHECK_INTERVAL, [this] { this->checkWatches(); });
+}
+
+void FakePlatform::changeInstance(const std::string &id, const std::string &state)
+{
+    this->loop.callAfter(this->faults.listLag, [this, id, state] {
+        for (ListedInstance &instance : this->instances) {
+            if (instance.id == id) {
+                instance.state = state;
+            }
+        }
+        ++this->listIndex;
+        this->wakeWatches();
+    });
+}
+
+HttpResponse FakePlatform::reportCounts() const
+{
+    return jsonResponse(QJsonDocument(QJsonObject{{"reads", static_cast<qint64>(this->counts.reads)},
+                                                  {"writes", static_cast<qint64>(this->counts.writes)},
+                                                  {"watches", static_cast<qint64>(this->counts.watches)},
+                                                  {"refused_by_outage", static_cast<qint64>(this->counts.refusedByOutage)}}));
+}
+
+void FakePlatform::serveOrder(const HttpRequest &request, const Target &target, const std::shared_ptr<HttpExchange> &exchange)
+{
+    if (target.path == "/fake/counts") {
+        exchange->respond(this->reportCounts());
+        return;
+    }
+    const QJsonObject body = QJsonDocument::fromJson(QByteArray::fromStdString(request.body)).object();
+    if (target.path == "/fake/faults") {
+        this->faults.outage = body.value("outage").toBool(this->faults.outage);
+        this->faults.delay = std::chrono::milliseconds(body.value("delay_ms").toInt(static_cast<int>(toMs(this->faults.delay))));
+        this->faults.listLag = std::chrono::milliseconds(body.value("list_lag_ms").toInt(static_cast<int>(toMs(this->faults.listLag))));
+        this->faults.loseWriteAnswers = body.value("lose_write_answers").toInt(this->faults.loseWriteAnswers);
+        exchange->respond(plain(200, "ok"));
+        return;
+    }
+    if (target.path == "/fake/instance") {
+        this->changeInstance(body.value("id").toString().toStdString(), body.value("state").toString().toStdString());
+        exchange->respond(plain(200, "ok"));
+        return;
+    }
+    exchange->respond(plain(404, "unknown order"));
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Kernel/ActionSteps.cpp
@@ -0,0 +1,119 @@
+/// \file
+/// Steps of an action that may run at most once: claim, one send, record of the outcome.
+#include "QueryState.h"
+#include "ragwortcart/Kernel/QueryEngine.h"
+#include "ragwortcart/Support/Hash.h"
+
+namespace ragwort {
+
+void QueryEngine::startAction(ActiveQuery &query, Instant now)
+{
+    (void)now;
+    query.phase = QueryPhase::claiming;
+    this->actions.emplace_back(RequestClaim{.query = query.request.id,
+                                            .team = query.request.team,
+                                            .key = query.request.idempotencyKey,
+                                            .fingerprint = query.request.fingerprint,
+                                            .deadline = query.request.deadline - REPLY_MARGIN});
+}
+
+void QueryEngine::onClaimDecided(const ClaimDecided &event, Instant now)
+{
+    ActiveQuery *query = this->find(event.query);
+    if (query == nullptr || query->phase != QueryPhase::claiming) {
+        if (event.verdict == ClaimVerdict::granted) {
+            // The query ended while the claim was on its way: nothing was sent, so the claim is given back.
+            this->actions.emplace_back(RecordClaimOutcome{.query = event.query, .state = RunState::notRun, .outcome = {}});
+        }
+        return;
+    }
+    query->phase = QueryPhase::running;
+    switch (event.verdict) {
+    case ClaimVerdict::granted:
+        this->sendAction(*query, now);
+        return;
+    case ClaimVerdict::alreadyRan: {
+        this->report(Reason::replayed, event.query);
+        Answer answer{.state = RunState::ran, .reason = std::string(toString(Reason::replayed)), .success = true, .outcome = event.recordedOutcome};
+        answer.replayed = true;
+        this->finish(*query, std::move(answer), now);
+        return;
+    }
+    case ClaimVerdict::heldElsewhere: {
+        this->report(Reason::claimHeldElsewhere, event.query);
+        Answer answer{.state = RunState::outcomeUnknown, .reason = std::string(toString(Reason::claimHeldElsewhere))};
+        this->finish(*query, std::move(answer), now);
+        return;
+    }
+    case ClaimVerdict::contentDiffers: {
+        this->report(Reason::claimContentDiffers, event.query);
+        Answer answer{.state = RunState::notRun, .reason = std::string(toString(Reason::claimContentDiffers))};
+        this->finish(*query, std::move(answer), now);
+        return;
+    }
+    case ClaimVerdict::unavailable: {
+        this->report(Reason::claimUnavailable, event.query);
+        Answer answer{.state = RunState::notRun, .reason = std::string(toString(Reason::claimUnavailable)), .retryAfter = std::chrono::seconds(1)};
+        this->finish(*query, std::move(answer), now);
+        return;
+    }
+    }
+}
+
+/// Sends the action to one server that holds the key which its content falls on.
+void QueryEngine::sendAction(ActiveQuery &query, Instant now)
+{
+    if (query.timeLeft(now) <= Duration::zero()) {
+        this->finishAction(query, RunState::notRun, Reason::deadlineReached, {}, now);
+        return;
+    }
+    if (query.parts.empty()) {
+        const auto usable = [](const ServerRecord &server) { return !server.hasBarrier(); };
+        const std::shared_ptr<const Topology> current = this->topology.get();
+        const auto group = current->groups.find(query.key);
+        std::optional<SnapshotPlan> plan;
+        if (group != current->groups.end()) {
+            plan = chooseSnapshot(group->second, usable, {});
+        }
+        const DocumentKey key = stableHash(query.request.text) % KEY_SPACE_END;
+        for (const PlannedPart &part : plan ? plan->parts : std::vector<PlannedPart>()) {
+            if (part.range.contains(key)) {
+                query.parts.push_back({.range = part.range, .replicas = part.replicas});
+            }
+        }
+        query.snapshot = plan ? plan->snapshot : 0;
+    }
+    if (query.parts.empty()) {
+        this->finishAction(query, RunState::notRun, Reason::noReplica, {}, now);
+        return;
+    }
+    bool anyUsable = false;
+    std::vector<ServerPointer> open = this->candidates(query, query.parts.front(), now, anyUsable);
+    while (!open.empty()) {
+        const std::size_t chosen = this->groupState(query.key).balance->choose(open, this->random);
+        if (this->sendAttempt(query, 0, open[chosen], false, now)) {
+            return;
+        }
+        open.erase(open.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+    if (anyUsable) {
+        this->waitForPermit(query, 0, now);
+        return;
+    }
+    this->finishAction(query, RunState::notRun, Reason::noReplica, {}, now);
+}
+
+void QueryEngine::finishAction(ActiveQuery &query, RunState state, Reason reason, const std::string &outcome, Instant now)
+{
+    if (query.phase == QueryPhase::running) {
+        this->actions.emplace_back(RecordClaimOutcome{.query = query.request.id, .state = state, .outcome = outcome});
+    }
+    this->report(reason, query.request.id);
+    Answer answer{.state = state, .reason = std::string(toString(reason)), .success = state == RunState::ran, .outcome = outcome};
+    if (state == RunState::notRun) {
+        answer.retryAfter = std::chrono::seconds(1);
+    }
+    this->finish(query, std::move(answer), now);
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -0,0 +1,375 @@
+/// \file
+/// Steps of one sub-request: choice of the replica, permit, hedge, timeout, answer, failure, retry.
+#include "QueryState.h"
+#include "ragwortcart/Kernel/QueryEngine.h"
+
+#include <cassert>
+
+namespace ragwort {
+
+/// A first attempt may use up this part of the time left, in percent, so that a second one still has time.
+static constexpr int ATTEMPT_TIME_PERCENT = 50;
+static constexpr Duration PERMIT_CHECK_INTERVAL = std::chrono::milliseconds(1);
+
+std::vector<ServerPointer> QueryEngine::candidates(const ActiveQuery &query, const QueryPart &part, Instant now, bool &anyUsable) const
+{
+    (void)query;
+    const auto tried = [&part](const ServerPointer &server) {
+        return std::any_of(part.attempts.begin(), part.attempts.end(), [&server](const PartAttempt &attempt) { return attempt.server == server; });
+    };
+    std::vector<ServerPointer> usable;
+    std::vector<ServerPointer> ejected;
+    for (const ServerPointer &server : part.replicas) {
+        if (server->hasBarrier() || tried(server)) {
+            continue;
+        }
+        (server->isEjected(now) ? ejected : usable).push_back(server);
+    }
+    if (usable.empty()) {
+        // Ejection is a preference: rather a suspect replica than none.
+        usable = std::move(ejected);
+    }
+    anyUsable = !usable.empty();
+    std::erase_if(usable, [](const ServerPointer &server) { return !server->hasPermit(); });
+    return usable;
+}
+
+void QueryEngine::dispatch(ActiveQuery &query, std::size_t partIndex, Instant now)
+{
+    QueryPart &part = query.parts[partIndex];
+    bool anyUsable = false;
+    std::vector<ServerPointer> open = this->candidates(query, part, now, anyUsable);
+    if (!anyUsable) {
+        part.state = PartState::failed;
+        this->report(Reason::noReplica, query.request.id);
+        this->continueAfterFailedPart(query, now);
+        return;
+    }
+    while (!open.empty()) {
+        const std::size_t chosen = this->groupState(query.key).balance->choose(open, this->random);
+        if (this->sendAttempt(query, partIndex, open[chosen], false, now)) {
+            this->armHedge(query, partIndex, now);
+            return;
+        }
+        open.erase(open.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+    this->waitForPermit(query, partIndex, now);
+}
+
+void QueryEngine::waitForPermit(ActiveQuery &query, std::size_t partIndex, Instant now)
+{
+    query.parts[partIndex].state = PartState::waiting;
+    this->waitingParts.emplace_back(query.request.id, partIndex);
+    if (this->waitTimerArmed) {
+        return;
+    }
+    // Another thread may give a permit back without this engine seeing it.
+    this->waitTimerArmed = true;
+    this->timers.subscribe(now + PERMIT_CHECK_INTERVAL, [this](Instant due) {
+        this->waitTimerArmed = false;
+        this->dispatchWaiting(due);
+    });
+}
+
+void QueryEngine::dispatchWaiting(Instant now)
+{
+    if (this->dispatchingWaiting || this->waitingParts.empty()) {
+        return;
+    }
+    this->dispatchingWaiting = true;
+    std::vector<std::pair<QueryId, std::size_t>> waiting = std::exchange(this->waitingParts, {});
+    const auto urgencyOf = [this](const std::pair<QueryId, std::size_t> &entry) {
+        const ActiveQuery *query = this->find(entry.first);
+        return query == nullptr ? Urgency::batch : query->kind->urgency;
+    };
+    std::stable_sort(waiting.begin(), waiting.end(), [&urgencyOf](const auto &left, const auto &right) { return urgencyOf(left) < urgencyOf(right); });
+    for (const auto &[id, partIndex] : waiting) {
+        ActiveQuery *query = this->find(id);
+        if (query != nullptr && partIndex < query->parts.size() && query->parts[partIndex].state == PartState::waiting) {
+            if (query->kind->repeatable) {
+                this->dispatch(*query, partIndex, now);
+            } else {
+                this->sendAction(*query, now);
+            }
+        }
+    }
+    this->dispatchingWaiting = false;
+}
+
+bool QueryEngine::sendAttempt(ActiveQuery &query, std::size_t partIndex, const ServerPointer &server, bool hedge, Instant now)
+{
+    if (!server->tryAcquire()) {
+        return false;
+    }
+    QueryPart &part = query.parts[partIndex];
+    const AttemptId id = ++query.lastAttempt;
+    const Duration left = query.timeLeft(now);
+    const Duration attemptTime = part.attempts.empty() && query.kind->repeatable ? left * ATTEMPT_TIME_PERCENT / 100 : left;
+    const TimerId timeout
+        = this->timers.subscribe(now + attemptTime, [this, queryId = query.request.id, id](Instant due) { this->onAttemptTimeout(queryId, id, due); });
+    part.attempts.push_back({.id = id, .server = server, .sentAt = now, .timeout = timeout, .hedge = hedge});
+    part.state = PartState::inFlight;
+    ++query.sent;
+    query.canaryExposure += query.canaryPending ? 1 : 0;
+    SubRequest request{.query = query.request.id,
+                       .attempt = id,
+                       .serverId = server->identity.id,
+                       .address = server->identity.address,
+                       .kind = query.request.kind,
+                       .text = query.request.text,
+                       .limit = query.request.limit,
+                       .snapshot = query.snapshot,
+                       .range = part.range,
+                       .deadline = query.request.deadline - REPLY_MARGIN,
+                       .traceParent = query.request.traceParent,
+                       .actionKey = query.kind->repeatable ? std::string() : query.request.team + '/' + query.request.idempotencyKey};
+    this->actions.emplace_back(SendSubRequest{.request = std::move(request)});
+    return true;
+}
+
+void QueryEngine::armHedge(ActiveQuery &query, std::size_t partIndex, Instant now)
+{
+    QueryPart &part = query.parts[partIndex];
+    GroupState &state = this->groupState(query.key);
+    const std::string &service = part.attempts.back().server->identity.service;
+    const std::optional<Duration> delay = state.hedge->delay(state.latencies[service], *query.group, query.kind->urgency);
+    if (!delay || now + *delay >= query.request.deadline - REPLY_MARGIN) {
+        return;
+    }
+    part.hedgeTimer = this->timers.subscribe(now + *delay, [this, id = query.request.id, partIndex](Instant due) { this->onHedgeDue(id, partIndex, due); });
+}
+
+void QueryEngine::onHedgeDue(QueryId id, std::size_t partIndex, Instant now)
+{
+    ActiveQuery *query = this->find(id);
+    if (query == nullptr || partIndex >= query->parts.size() || query->parts[partIndex].state != PartState::inFlight) {
+        return;
+    }
+    bool anyUsable = false;
+    const std::vector<ServerPointer> open = this->candidates(*query, query->parts[partIndex], now, anyUsable);
+    if (open.empty() || !this->mayExposeAnother(*query, now)) {
+        return;
+    }
+    GroupState &state = this->groupState(query->key);
+    if (!state.budget.spend()) {
+        this->report(Reason::hedgeBudgetSpent, id);
+        return;
+    }
+    const std::size_t chosen = state.balance->choose(open, this->random);
+    if (this->sendAttempt(*query, partIndex, open[chosen], true, now)) {
+        ++query->hedges;
+        this->report(Reason::hedged, id, open[chosen]->identity.id);
+    }
+}
+
+void QueryEngine::closeAttempt(PartAttempt &attempt)
+{
+    assert(attempt.open && "an attempt is closed once");
+    attempt.open = false;
+    this->timers.cancel(attempt.timeout);
+    attempt.server->release();
+}
+
+void QueryEngine::cancelOpenAttempts(ActiveQuery &query, QueryPart &part)
+{
+    this->timers.cancel(part.hedgeTimer);
+    for (PartAttempt &attempt : part.attempts) {
+        if (attempt.open) {
+            this->closeAttempt(attempt);
+            this->actions.emplace_back(
+                CancelSubRequest{.query = query.request.id, .attempt = attempt.id, .serverId = attempt.server->identity.id});
+        }
+    }
+}
+
+struct FoundAttempt
+{
+    std::size_t part = 0;
+    std::size_t attempt = 0;
+};
+
+/// Finds an attempt that is still open.
+static std::optional<FoundAttempt> findOpenAttempt(const ActiveQuery &query, AttemptId id)
+{
+    for (std::size_t part = 0; part < query.parts.size(); ++part) {
+        const std::vector<PartAttempt> &attempts = query.parts[part].attempts;
+        for (std::size_t index = 0; index < attempts.size(); ++index) {
+            if (attempts[index].id == id && attempts[index].open) {
+                return FoundAttempt{.part = part, .attempt = index};
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+void QueryEngine::onSubAnswered(const SubAnswered &event, Instant now)
+{
+    ActiveQuery *query = this->find(event.query);
+    const std::optional<FoundAttempt> found = query == nullptr ? std::nullopt : findOpenAttempt(*query, event.attempt);
+    if (!found) {
+        this->report(Reason::lateAnswerDropped, event.query);
+        return;
+    }
+    QueryPart &part = query->parts[found->part];
+    PartAttempt &attempt = part.attempts[found->attempt];
+    const ServerPointer server = attempt.server;
+    const bool action = !query->kind->repeatable;
+    const bool matches = action || (event.answer.snapshot == query->snapshot && !event.answer.range.empty() && event.answer.range.begin >= part.range.begin
+                                    && event.answer.range.end <= part.range.end);
+    if (!matches) {
+        this->report(Reason::wrongSnapshotDropped, event.query, server->identity.id);
+        this->onSubFailed({.query = event.query, .attempt = event.attempt, .failure = SubFailure::protocol, .report = event.answer.report}, now);
+        return;
+    }
+    const Duration latency = now - attempt.sentAt;
+    this->closeAttempt(attempt);
+    this->applyReport(*server, event.answer.report);
+    this->recordGoodAnswer(*query, *server, latency, event.answer.report.cold, now);
+    if (action) {
+        const std::string outcome = event.answer.results.empty() ? std::string() : event.answer.results.front().text;
+        this->finishAction(*query, RunState::ran, Reason::completed, outcome, now);
+        return;
+    }
+    this->cancelOpenAttempts(*query, part);
+    if (query->covered.overlaps(event.answer.range)) {
+        this->report(Reason::overlappingAnswerDropped, event.query, server->identity.id);
+        part.state = PartState::failed;
+    } else {
+        this->mergeAnswer(*query, part, event.answer, now);
+    }
+    const KeyRange asked = part.range;
+    const std::size_t known = query->parts.size();
+    if (event.answer.range != asked) {
+        this->planRemainder(*query, asked);
+    }
+    if (query->canaryPending) {
+        this->releaseCanary(*query, now);
+    } else {
+        for (std::size_t index = known; index < query->parts.size(); ++index) {
+            this->dispatch(*query, index, now);
+            query = this->find(event.query);
+            if (query == nullptr) {
+                return;
+            }
+        }
+    }
+    query = this->find(event.query);
+    if (query != nullptr) {
+        this->finishIfDone(*query, now);
+    }
+    this->dispatchWaiting(now);
+}
+
+void QueryEngine::onAttemptTimeout(QueryId id, AttemptId attempt, Instant now)
+{
+    ActiveQuery *query = this->find(id);
+    const std::optional<FoundAttempt> found = query == nullptr ? std::nullopt : findOpenAttempt(*query, attempt);
+    if (!found) {
+        return;
+    }
+    const std::string server = query->parts[found->part].attempts[found->attempt].server->identity.id;
+    this->report(Reason::attemptTimedOut, id, server);
+    this->actions.emplace_back(CancelSubRequest{.query = id, .attempt = attempt, .serverId = server});
+    this->onSubFailed({.query = id, .attempt = attempt, .failure = SubFailure::timeout, .report = std::nullopt}, now);
+}
+
+void QueryEngine::onSubFailed(const SubFailed &event, Instant now)
+{
+    ActiveQuery *query = this->find(event.query);
+    const std::optional<FoundAttempt> found = query == nullptr ? std::nullopt : findOpenAttempt(*query, event.attempt);
+    if (!found) {
+        return;
+    }
+    QueryPart &part = query->parts[found->part];
+    PartAttempt &attempt = part.attempts[found->attempt];
+    const ServerPointer server = attempt.server;
+    this->closeAttempt(attempt);
+    if (event.report) {
+        this->applyReport(*server, *event.report);
+    }
+    this->recordFailure(*query, *server, event.failure, now);
+    if (query->canaryPending && provesNotRun(event.failure)) {
+        --query->canaryExposure;
+    }
+    part.snapshotGone = event.failure == SubFailure::snapshotGone;
+    if (!query->kind->repeatable) {
+        if (event.failure == SubFailure::connectFailed) {
+            // No byte has left, so that another server may be asked.
+            this->sendAction(*query, now);
+            return;
+        }
+        const bool notRun = provesNotRun(event.failure);
+        this->finishAction(*query, notRun ? RunState::notRun : RunState::outcomeUnknown, notRun ? Reason::noReplica : Reason::unknownOutcome, {}, now);
+        return;
+    }
+    if (event.failure == SubFailure::lost && query->canaryPending) {
+        // Only unknown content is accused: content that was answered before does not crash every server that runs it.
+        this->report(Reason::contentAccused, event.query, server->identity.id);
+        this->actions.emplace_back(
+            AccuseContent{.query = event.query, .fingerprint = query->request.fingerprint, .serverId = server->identity.id});
+        part.state = PartState::accusing;
+        this->timers.cancel(part.hedgeTimer);
+        return;
+    }
+    if (part.hasOpenAttempt()) {
+        return;
+    }
+    this->retryOrGiveUp(*query, found->part, event.failure, now);
+    this->dispatchWaiting(now);
+}
+
+void QueryEngine::retryOrGiveUp(ActiveQuery &query, std::size_t partIndex, SubFailure failure, Instant now)
+{
+    QueryPart &part = query.parts[partIndex];
+    if (part.hasOpenAttempt()) {
+        part.state = PartState::inFlight;
+        return;
+    }
+    GroupState &state = this->groupState(query.key);
+    const RetryQuestion question{.failure = failure,
+                                 .attemptsOfPart = static_cast<int>(part.attempts.size()),
+                                 .urgency = query.kind->urgency,
+                                 .timeLeft = query.timeLeft(now)};
+    bool anyUsable = false;
+    this->candidates(query, part, now, anyUsable);
+    const bool allowed = anyUsable && this->mayExposeAnother(query, now);
+    if (allowed && state.retry->retry(question, state.budget)) {
+        ++query.retries;
+        this->report(Reason::retried, query.request.id);
+        this->dispatch(query, partIndex, now);
+        return;
+    }
+    if (!anyUsable && failure == SubFailure::snapshotGone && this->rerunOnNextSnapshot(query, now)) {
+        return;
+    }
+    part.state = PartState::failed;
+    this->report(anyUsable ? Reason::retryBudgetSpent : Reason::noReplica, query.request.id);
+    this->continueAfterFailedPart(query, now);
+}
+
+bool QueryEngine::mayExposeAnother(const ActiveQuery &query, Instant now)
+{
+    if (!query.canaryPending) {
+        return true;
+    }
+    // Servers that were lost to this content count once, whether this query or another one lost them.
+    const int accused = this->suspects.accusedServers(query.request.fingerprint, now);
+    return std::max(query.canaryExposure, accused) < QUARANTINE_SERVERS;
+}
+
+void QueryEngine::continueAfterFailedPart(ActiveQuery &query, Instant now)
+{
+    if (!query.canaryPending) {
+        this->finishIfDone(query, now);
+        return;
+    }
+    // Another range becomes the canary, unless this content may already have harmed as many servers as are tolerated.
+    const auto next = std::find_if(query.parts.begin(), query.parts.end(), [](const QueryPart &part) { return part.state == PartState::idle; });
+    if (next == query.parts.end() || !this->mayExposeAnother(query, now)) {
+        this->finishSearch(query, Reason::noReplica, now);
+        return;
+    }
+    this->dispatch(query, static_cast<std::size_t>(next - query.parts.begin()), now);
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Kernel/ServerHealth.cpp
@@ -0,0 +1,112 @@
+/// \file
+/// What the kernel learns of servers from their answers: latency, failures, cold starts and their end.
+#include "QueryState.h"
+#include "ragwortcart/Kernel/QueryEngine.h"
+#include "ragwortcart/Kernel/Shares.h"
+
+namespace ragwort {
+
+static constexpr int EJECT_AFTER_FAILURES = 3;
+static constexpr Duration EJECTION_TIME = std::chrono::seconds(2);
+/// An answer slower than this multiple of the service's median counts as slow.
+static constexpr int SLOW_FACTOR = 5;
+static constexpr std::uint64_t SLOW_MINIMUM_SAMPLES = 50;
+/// Slow answers in a row after which a server is taken for cold, whatever it reports.
+static constexpr int COLD_AFTER_SLOW_ANSWERS = 6;
+/// Good answers that end one level of a warm-up, when the server itself says that it is warm and when it does not.
+static constexpr int WARM_UP_ANSWERS = 8;
+static constexpr int WARM_UP_ANSWERS_WHILE_REPORTED_COLD = 64;
+
+void QueryEngine::applyReport(ServerRecord &server, const ServerReport &report)
+{
+    server.reportedLoad.store(report.load, std::memory_order_relaxed);
+    server.setBarrier(ServerRecord::draining, report.draining);
+    if (report.incarnation == 0) {
+        return;
+    }
+    const std::uint64_t before = server.incarnation.exchange(report.incarnation);
+    const bool restarted = before != 0 && before != report.incarnation;
+    if (!restarted && !(report.cold && !server.cold.load())) {
+        return;
+    }
+    const std::shared_ptr<const Configuration> configured = this->configuration.get();
+    const TeamConfiguration *team = configured->findTeam(server.identity.team);
+    const BackendGroup *group = team == nullptr ? nullptr : team->findGroup(server.identity.group);
+    if (group != nullptr) {
+        this->markCold(server, *group);
+    }
+}
+
+void QueryEngine::markCold(ServerRecord &server, const BackendGroup &group)
+{
+    server.warmUpLevel.store(0);
+    server.warmUpAnswers.store(0);
+    server.consecutiveSlow.store(0);
+    updateShares(server, group, this->topology.get()->shares.forServer(server.coldOwner.load()));
+    server.cold.store(true, std::memory_order_release);
+    this->report(Reason::serverCold, 0, server.identity.id);
+    this->actions.emplace_back(AnnounceWarmUp{.serverId = server.identity.id, .incarnation = server.incarnation.load(), .level = 0, .cold = true});
+}
+
+void QueryEngine::recordGoodAnswer(ActiveQuery &query, ServerRecord &server, Duration latency, bool reportedCold, Instant now)
+{
+    server.consecutiveFailures.store(0, std::memory_order_relaxed);
+    server.recordLatency(latency);
+    RecentLatency &service = this->groupState(query.key).latencies[server.identity.service];
+    const std::optional<Duration> median = service.quantile(0.5, SLOW_MINIMUM_SAMPLES);
+    const bool slow = median && latency > *median * SLOW_FACTOR;
+    if (!server.cold.load(std::memory_order_acquire)) {
+        service.record(latency, now);
+        const int slowInRow = slow ? server.consecutiveSlow.fetch_add(1) + 1 : 0;
+        if (!slow) {
+            server.consecutiveSlow.store(0);
+        }
+        if (slowInRow >= COLD_AFTER_SLOW_ANSWERS) {
+            this->markCold(server, *query.group);
+        }
+        return;
+    }
+    if (slow || !server.coldOwner.load()) {
+        return;
+    }
+    const int needed = reportedCold ? WARM_UP_ANSWERS_WHILE_REPORTED_COLD : WARM_UP_ANSWERS;
+    if (server.warmUpAnswers.fetch_add(1) + 1 < needed) {
+        return;
+    }
+    server.warmUpAnswers.store(0);
+    const int level = server.warmUpLevel.fetch_add(1) + 1;
+    updateShares(server, *query.group, this->topology.get()->shares.forServer(true));
+    const bool warm = (static_cast<std::int64_t>(query.group->coldCapacity) << level) >= query.group->connections;
+    if (warm) {
+        server.cold.store(false, std::memory_order_release);
+    }
+    this->report(Reason::serverWarmer, query.request.id, server.identity.id);
+    this->actions.emplace_back(
+        AnnounceWarmUp{.serverId = server.identity.id, .incarnation = server.incarnation.load(), .level = level, .cold = !warm});
+}
+
+void QueryEngine::recordFailure(ActiveQuery &query, ServerRecord &server, SubFailure failure, Instant now)
+{
+    server.failed.fetch_add(1, std::memory_order_relaxed);
+    switch (failure) {
+    case SubFailure::draining:
+        server.setBarrier(ServerRecord::draining, true);
+        return;
+    case SubFailure::shed:
+    case SubFailure::snapshotGone:
+        return;
+    case SubFailure::connectFailed:
+    case SubFailure::lost:
+    case SubFailure::closed:
+    case SubFailure::timeout:
+    case SubFailure::protocol:
+        break;
+    }
+    if (server.consecutiveFailures.fetch_add(1) + 1 >= EJECT_AFTER_FAILURES) {
+        server.consecutiveFailures.store(0);
+        server.ejectedUntilUs.store((now + EJECTION_TIME).time_since_epoch().count(), std::memory_order_relaxed);
+        this->report(Reason::serverEjected, query.request.id, server.identity.id);
+    }
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Kernel/ServerRecord.cpp
@@ -0,0 +1,60 @@
+/// \file
+/// Permits and latency of one backend server.
+#include "ragwortcart/Kernel/ServerRecord.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace ragwort {
+
+/// Weight of a new sample in the moving average of latency, as a divisor.
+static constexpr std::int64_t LATENCY_AVERAGE_DIVISOR = 8;
+
+void ServerRecord::setBarrier(Barrier barrier, bool present)
+{
+    if (present) {
+        this->barriers.fetch_or(barrier, std::memory_order_acq_rel);
+        return;
+    }
+    this->barriers.fetch_and(~static_cast<std::uint32_t>(barrier), std::memory_order_acq_rel);
+}
+
+int ServerRecord::limit() const
+{
+    const int warm = this->warmShare.load(std::memory_order_relaxed);
+    if (!this->cold.load(std::memory_order_acquire)) {
+        return warm;
+    }
+    return std::min(warm, this->coldShare.load(std::memory_order_relaxed));
+}
+
+bool ServerRecord::tryAcquire()
+{
+    int current = this->inFlight.load(std::memory_order_relaxed);
+    while (current < this->limit()) {
+        if (this->inFlight.compare_exchange_weak(current, current + 1, std::memory_order_acq_rel)) {
+            this->sent.fetch_add(1, std::memory_order_relaxed);
+            return true;
+        }
+    }
+    return false;
+}
+
+void ServerRecord::release()
+{
+    const int before = this->inFlight.fetch_sub(1, std::memory_order_acq_rel);
+    assert(before > 0 && "a permit was released twice");
+    (void)before;
+}
+
+void ServerRecord::recordLatency(Duration latency)
+{
+    const std::int64_t sample = std::max<std::int64_t>(latency.count(), 1);
+    std::int64_t current = this->latencyUs.load(std::memory_order_relaxed);
+    std::int64_t next = 0;
+    do {
+        next = current == 0 ? sample : current + (sample - current) / LATENCY_AVERAGE_DIVISOR;
+    } while (!this->latencyUs.compare_exchange_weak(current, next, std::memory_order_relaxed));
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Kernel/Topology.cpp
@@ -0,0 +1,116 @@
+/// \file
+/// Planning on the topology: tiling of the key space and choice of the snapshot.
+#include "ragwortcart/Kernel/Topology.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace ragwort {
+
+std::string groupKey(std::string_view team, std::string_view group)
+{
+    return std::string(team) + '/' + std::string(group);
+}
+
+const GroupTopology *Topology::findGroup(std::string_view team, std::string_view group) const
+{
+    const auto found = this->groups.find(groupKey(team, group));
+    return found == this->groups.end() ? nullptr : &found->second;
+}
+
+/// The usable servers that hold all of \p range, whichever shards list them.
+static std::vector<ServerPointer> holdersOf(const SnapshotLayout &layout, const KeyRange &range, const UsableServer &usable)
+{
+    std::vector<ServerPointer> holders;
+    for (const Shard &shard : layout.shards) {
+        if (shard.range.begin > range.begin) {
+            break;
+        }
+        if (shard.range.end < range.end) {
+            continue;
+        }
+        std::copy_if(shard.replicas.begin(), shard.replicas.end(), std::back_inserter(holders), [&usable](const ServerPointer &server) {
+            return usable(*server);
+        });
+    }
+    return holders;
+}
+
+static bool hasUsable(const Shard &shard, const UsableServer &usable)
+{
+    return std::any_of(shard.replicas.begin(), shard.replicas.end(), [&usable](const ServerPointer &server) { return usable(*server); });
+}
+
+/// The shard to continue with at \p position: one that begins there before one that began earlier, then the one with more replicas.
+static const Shard *shardAt(const SnapshotLayout &layout, DocumentKey position, const UsableServer &usable)
+{
+    const Shard *best = nullptr;
+    const auto rank = [position](const Shard &shard) { return std::tuple(shard.range.begin == position, shard.replicas.size(), shard.range.end); };
+    for (const Shard &shard : layout.shards) {
+        if (shard.range.begin > position) {
+            break;
+        }
+        if (!shard.range.contains(position) || !hasUsable(shard, usable)) {
+            continue;
+        }
+        if (best == nullptr || rank(shard) > rank(*best)) {
+            best = &shard;
+        }
+    }
+    return best;
+}
+
+static DocumentKey nextBegin(const SnapshotLayout &layout, DocumentKey position, const UsableServer &usable)
+{
+    for (const Shard &shard : layout.shards) {
+        if (shard.range.begin > position && hasUsable(shard, usable)) {
+            return shard.range.begin;
+        }
+    }
+    return KEY_SPACE_END;
+}
+
+SnapshotPlan planSnapshot(const SnapshotLayout &layout, const UsableServer &usable)
+{
+    SnapshotPlan plan{.snapshot = layout.id, .totalDocuments = layout.totalDocuments, .parts = {}, .missing = {}};
+    DocumentKey position = 0;
+    while (position < KEY_SPACE_END) {
+        const Shard *shard = shardAt(layout, position, usable);
+        if (shard == nullptr) {
+            const DocumentKey next = nextBegin(layout, position, usable);
+            plan.missing.push_back({.begin = position, .end = next});
+            position = next;
+            continue;
+        }
+        const KeyRange range{.begin = position, .end = shard->range.end};
+        plan.parts.push_back({.range = range, .replicas = holdersOf(layout, range, usable)});
+        position = range.end;
+    }
+    return plan;
+}
+
+std::optional<SnapshotPlan> chooseSnapshot(const GroupTopology &group, const UsableServer &usable, std::span<const SnapshotId> excluded)
+{
+    std::optional<SnapshotPlan> best;
+    std::tuple<DocumentKey, bool> bestRank;
+    for (const SnapshotLayout &layout : group.snapshots) {
+        if (std::find(excluded.begin(), excluded.end(), layout.id) != excluded.end()) {
+            continue;
+        }
+        SnapshotPlan plan = planSnapshot(layout, usable);
+        DocumentKey covered = KEY_SPACE_END;
+        for (const KeyRange &gap : plan.missing) {
+            covered -= gap.width();
+        }
+        const bool replicated
+            = std::all_of(plan.parts.begin(), plan.parts.end(), [](const PlannedPart &part) { return part.replicas.size() >= 2; });
+        const std::tuple<DocumentKey, bool> rank(covered, replicated);
+        if (!best || rank > bestRank) {
+            best = std::move(plan);
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Policies/HedgePolicies.cpp
@@ -0,0 +1,47 @@
+/// \file
+/// Plug-ins that decide when to hedge: never (the baseline) and after a high quantile of the service's latency.
+#include "ragwortcart/Kernel/Policies.h"
+
+#include <algorithm>
+
+namespace ragwort {
+
+namespace {
+
+class NoHedge final : public HedgePolicy
+{
+public:
+    std::optional<Duration> delay(const RecentLatency & /*service*/, const BackendGroup & /*group*/, Urgency /*urgency*/) override
+    {
+        return std::nullopt;
+    }
+};
+
+/// Samples before the histogram of a service is trusted.
+constexpr std::uint64_t MINIMUM_SAMPLES = 50;
+constexpr Duration MINIMUM_DELAY = std::chrono::milliseconds(1);
+
+/// Hedges after the quantile that only the share paid by the extra-load budget exceeds. Batch work is never hedged.
+class QuantileHedge final : public HedgePolicy
+{
+public:
+    std::optional<Duration> delay(const RecentLatency &service, const BackendGroup &group, Urgency urgency) override
+    {
+        if (urgency == Urgency::batch) {
+            return std::nullopt;
+        }
+        const double quantile = std::clamp(1.0 - group.extraLoad, 0.5, 0.999);
+        const std::optional<Duration> delay = service.quantile(quantile, MINIMUM_SAMPLES);
+        if (!delay) {
+            return std::nullopt;
+        }
+        return std::max(*delay, MINIMUM_DELAY);
+    }
+};
+
+} // namespace
+
+static const PluginRegistration<HedgePolicy, NoHedge> NO_HEDGE("none");
+static const PluginRegistration<HedgePolicy, QuantileHedge> QUANTILE_HEDGE("quantile");
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Runtime/ProgramMain.cpp
@@ -0,0 +1,53 @@
+/// \file
+/// Shared parts of the programs' mains.
+#include "ragwortcart/Runtime/ProgramMain.h"
+
+#include <QSocketNotifier>
+#include <csignal>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+namespace ragwort {
+
+void parseFlags(int *argc, char ***argv, const std::string &usage)
+{
+    gflags::SetUsageMessage(usage);
+    gflags::SetVersionString(RAGWORTCART_VERSION);
+    gflags::ParseCommandLineFlags(argc, argv, true);
+}
+
+bool reportFaults(Settings &settings)
+{
+    const std::vector<SettingsFault> faults = settings.finish();
+    for (const SettingsFault &fault : faults) {
+        std::cerr << fault.describe() << '\n';
+    }
+    return faults.empty();
+}
+
+SignalWatcher::SignalWatcher(std::function<void()> onSignal)
+    : callback(std::move(onSignal))
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    this->descriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+    this->notifier = new QSocketNotifier(this->descriptor, QSocketNotifier::Read, this);
+    connect(this->notifier, &QSocketNotifier::activated, this, [this] {
+        signalfd_siginfo received{};
+        if (::read(this->descriptor, &received, sizeof received) == static_cast<ssize_t>(sizeof received)) {
+            this->callback();
+        }
+    });
+}
+
+SignalWatcher::~SignalWatcher()
+{
+    ::close(this->descriptor);
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Runtime/Worker.cpp
@@ -0,0 +1,282 @@
+/// \file
+/// Wiring of one request thread.
+#include "ragwortcart/Runtime/Worker.h"
+
+#include "ragwortcart/Support/Hash.h"
+#include "ragwortcart/Support/Log.h"
+#include "ragwortcart/Wire/CallerCodec.h"
+
+#include <cassert>
+#include <random>
+
+namespace ragwort {
+
+template<typename... Handlers>
+struct Visitor : Handlers...
+{
+    using Handlers::operator()...;
+};
+template<typename... Handlers>
+Visitor(Handlers...) -> Visitor<Handlers...>;
+
+Worker::Worker(Options workerOptions)
+    : options(std::move(workerOptions))
+    , configuration(this->options.configuration)
+    , topology(this->options.topology)
+    , engine({.configuration = this->options.configuration,
+              .topology = this->options.topology,
+              .gate = this->options.gate,
+              .suspects = this->options.suspects,
+              .seed = this->options.seed + static_cast<std::uint64_t>(this->options.index)})
+    , client(this->loop, {})
+    , server(this->loop,
+             {.address = this->options.callersAddress,
+              .maximumBodyBytes = this->options.maximumBodyBytes,
+              .maximumConnections = this->options.maximumConnections,
+              .maximumConnectionsPerAddress = this->options.maximumConnections,
+              .reusePort = true},
+             [this](HttpRequest request, const std::shared_ptr<HttpExchange> &exchange) { this->onCallerRequest(std::move(request), exchange); })
+    , wakeup(this->loop)
+    , subRequests(this->options.metrics.counter("ragwort_sub_requests_total"))
+    , plannedQueries(this->options.metrics.counter("ragwort_queries_total"))
+{
+}
+
+Worker::~Worker()
+{
+    this->stopAndJoin();
+}
+
+void Worker::setColleagues(const std::vector<Worker *> &workers)
+{
+    this->colleagues = workers;
+}
+
+Result<std::uint16_t> Worker::start()
+{
+    const Result<std::uint16_t> port = this->server.listen();
+    if (!port) {
+        return port;
+    }
+    this->thread = std::thread([this] { this->loop.run(); });
+    return port;
+}
+
+void Worker::stopAndJoin()
+{
+    this->loop.stop();
+    if (this->thread.joinable()) {
+        this->thread.join();
+    }
+}
+
+void Worker::post(std::function<void()> task)
+{
+    this->loop.post(std::move(task));
+}
+
+void Worker::postEvent(KernelEvent event)
+{
+    this->loop.post([this, event = std::move(event)] { this->handle(event); });
+}
+
+void Worker::drain()
+{
+    this->loop.post([this] {
+        this->handle(DrainRequested{});
+        this->server.drain();
+    });
+}
+
+WorkerStatus Worker::status() const
+{
+    const BackendClientCounts &counts = this->client.counts();
+    return {.index = this->options.index,
+            .engine = this->engine.status(),
+            .callers = this->server.counts(),
+            .backendRequests = counts.requests.load(),
+            .backendConnects = counts.connects.load(),
+            .backendConnectFailures = counts.connectFailures.load(),
+            .backendAbandoned = counts.abandoned.load()};
+}
+
+void Worker::fetchStatus(const std::string &address, Duration timeout, BackendClient::StatusCompletion completion)
+{
+    this->client.fetchStatus(address, timeout, std::move(completion));
+}
+
+Worker &Worker::homeOf(const std::string &serverId)
+{
+    // One worker holds all connections to a server, so that their number is exact.
+    return *this->colleagues[stableHash(serverId) % this->colleagues.size()];
+}
+
+void Worker::onCallerRequest(HttpRequest request, const std::shared_ptr<HttpExchange> &exchange)
+{
+    auto decoded = decodeCallerRequest(request, *this->configuration.get(), steadyNow());
+    if (auto *fault = std::get_if<HttpResponse>(&decoded)) {
+        this->options.metrics.counter("ragwort_bad_requests_total").add();
+        exchange->respond(std::move(*fault));
+        return;
+    }
+    auto &query = std::get<QueryRequest>(decoded);
+    // Requests of one content meet in one engine, which lets only one of them be the first to run.
+    Worker &target = *this->colleagues[query.fingerprint % this->colleagues.size()];
+    this->openQueries.fetch_add(1, std::memory_order_acq_rel);
+    target.post([this, &target, query = std::move(query), exchange] { target.adopt(query, *this, exchange); });
+}
+
+void Worker::adopt(QueryRequest request, Worker &front, const std::shared_ptr<HttpExchange> &exchange)
+{
+    request.id = ++this->queryCount * static_cast<QueryId>(this->options.count) + static_cast<QueryId>(this->options.index);
+    if (request.traceParent.empty()) {
+        const std::uint64_t high = stableHash(this->options.instance, request.id);
+        const std::uint64_t low = stableHash(this->options.instance, ~request.id ^ this->options.seed);
+        request.traceParent = "00-" + toHex(high) + toHex(low) + '-' + toHex(request.id) + "-01";
+    }
+    const TeamConfiguration *team = this->configuration.get()->findTeam(request.team);
+    const Kind *kind = team == nullptr ? nullptr : team->findKind(request.kind);
+    this->open[request.id] = {.front = &front,
+                              .exchange = exchange,
+                              .team = request.team,
+                              .kind = request.kind,
+                              .repeatable = kind == nullptr || kind->repeatable,
+                              .arrival = request.arrival};
+    front.post([this, id = request.id, exchange] { exchange->onAbandoned([this, id] { this->postEvent(CallerGone{.query = id}); }); });
+    this->plannedQueries.add();
+    this->handle(QueryArrived{.request = std::move(request)});
+}
+
+void Worker::handle(const KernelEvent &event)
+{
+    this->engine.handle(event, steadyNow());
+    if (const auto *gone = std::get_if<CallerGone>(&event)) {
+        const auto found = this->open.find(gone->query);
+        if (found != this->open.end() && found->second.repeatable) {
+            found->second.front->openQueries.fetch_sub(1, std::memory_order_acq_rel);
+            this->open.erase(found);
+        }
+    }
+    this->afterDecisions();
+}
+
+void Worker::afterDecisions()
+{
+    if (this->performing) {
+        return;
+    }
+    this->performing = true;
+    for (std::vector<KernelAction> actions = this->engine.takeActions(); !actions.empty(); actions = this->engine.takeActions()) {
+        for (const KernelAction &action : actions) {
+            this->perform(action);
+        }
+    }
+    this->performing = false;
+    const std::optional<Instant> next = this->engine.nextWakeup();
+    if (!next) {
+        this->wakeup.cancel();
+        return;
+    }
+    this->wakeup.arm(*next, [this] {
+        this->engine.advance(steadyNow());
+        this->afterDecisions();
+    });
+}
+
+void Worker::perform(const KernelAction &action)
+{
+    std::visit(Visitor{[this](const SendSubRequest &send) { this->send(send.request); },
+                       [this](const CancelSubRequest &cancel) {
+                           Worker &home = this->homeOf(cancel.serverId);
+                           home.post([&home, query = cancel.query, attempt = cancel.attempt] { home.client.cancel(query, attempt); });
+                       },
+                       [this](const ReplyToCaller &answered) { this->reply(answered.answer); },
+                       [this](const RequestClaim &claim) { this->options.control(claim); },
+                       [this](const RecordClaimOutcome &outcome) { this->options.control(outcome); },
+                       [this](const AccuseContent &accusation) { this->options.control(accusation); },
+                       [this](const AnnounceWarmUp &warmUp) { this->options.control(warmUp); },
+                       [this](const ReportDecision &decision) { this->note(decision); }},
+               action);
+}
+
+void Worker::send(const SubRequest &request)
+{
+    this->subRequests.add();
+    const auto found = this->topology.get()->servers.find(request.serverId);
+    const int bound = found == this->topology.get()->servers.end() ? 1 : found->second->warmShare.load(std::memory_order_relaxed);
+    Worker &home = this->homeOf(request.serverId);
+    home.post([this, &home, request, bound] {
+        home.client.send(request, bound, [this, query = request.query, attempt = request.attempt](SubOutcome outcome) {
+            if (auto *answer = std::get_if<SubAnswer>(&outcome)) {
+                this->postEvent(SubAnswered{.query = query, .attempt = attempt, .answer = std::move(*answer)});
+                return;
+            }
+            const auto &failure = std::get<SubFailureReport>(outcome);
+            this->postEvent(SubFailed{.query = query, .attempt = attempt, .failure = failure.failure, .report = failure.report});
+        });
+    });
+}
+
+LatencyHistogram &Worker::latencyOf(const std::string &team, const std::string &kind)
+{
+    LatencyHistogram *&histogram = this->latencies[team + '/' + kind];
+    if (histogram == nullptr) {
+        histogram = &this->options.metrics.histogram("ragwort_query_seconds", "team=\"" + team + "\",kind=\"" + kind + '"');
+    }
+    return *histogram;
+}
+
+void Worker::reply(const Answer &answer)
+{
+    const auto found = this->open.find(answer.query);
+    if (found == this->open.end()) {
+        return;
+    }
+    const OpenQuery query = std::move(found->second);
+    this->open.erase(found);
+    const Duration elapsed = steadyNow() - query.arrival;
+    this->latencyOf(query.team, query.kind).record(elapsed);
+    this->options.metrics.counter("ragwort_answers_total", "reason=\"" + answer.reason + "\",success=\"" + (answer.success ? "true" : "false") + '"').add();
+    HttpResponse response
+        = encodeAnswer(answer, {.instance = this->options.instance, .repeatable = query.repeatable, .elapsed = elapsed});
+    query.front->post([front = query.front, exchange = query.exchange, response = std::move(response)] {
+        exchange->respond(response);
+        front->openQueries.fetch_sub(1, std::memory_order_acq_rel);
+    });
+}
+
+static bool isNotable(Reason reason)
+{
+    switch (reason) {
+    case Reason::serverEjected:
+    case Reason::serverCold:
+    case Reason::serverWarmer:
+    case Reason::contentAccused:
+    case Reason::contentQuarantined:
+    case Reason::snapshotLost:
+    case Reason::unknownOutcome:
+    case Reason::wrongSnapshotDropped:
+        return true;
+    default:
+        return false;
+    }
+}
+
+void Worker::note(const ReportDecision &decision)
+{
+    const auto index = static_cast<std::size_t>(decision.reason);
+    assert(index < this->reasonCounters.size() && "more reason codes than counters");
+    Counter *&counter = this->reasonCounters.at(index);
+    if (counter == nullptr) {
+        counter = &this->options.metrics.counter("ragwort_decisions_total", "reason=\"" + std::string(toString(decision.reason)) + '"');
+    }
+    counter->add();
+    const LogLevel level = isNotable(decision.reason) ? LogLevel::info : LogLevel::debug;
+    logEvent(level,
+             "decision",
+             {{.key = "reason", .value = std::string(toString(decision.reason))},
+              {.key = "query", .value = std::to_string(decision.query)},
+              {.key = "server", .value = decision.server.empty() ? "-" : decision.server}});
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Support/Log.cpp
@@ -0,0 +1,93 @@
+/// \file
+/// Structured logs on log4cxx.
+#include "ragwortcart/Support/Log.h"
+
+#include <cctype>
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+namespace ragwort {
+
+static std::string escapeValue(std::string_view value)
+{
+    bool quoted = value.empty();
+    std::string escaped;
+    for (const char character : value) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (character == '"' || character == '\\') {
+            escaped += '\\';
+            escaped += character;
+            quoted = true;
+        } else if (std::iscntrl(byte) != 0) {
+            escaped += '?';
+            quoted = true;
+        } else {
+            escaped += character;
+            quoted = quoted || character == ' ' || character == '=';
+        }
+    }
+    return quoted ? '"' + escaped + '"' : escaped;
+}
+
+std::string formatLogFields(std::span<const LogField> fields)
+{
+    std::string line;
+    for (const LogField &field : fields) {
+        if (!line.empty()) {
+            line += ' ';
+        }
+        line += field.key;
+        line += '=';
+        line += escapeValue(field.value);
+    }
+    return line;
+}
+
+static log4cxx::LoggerPtr rootLogger()
+{
+    return log4cxx::Logger::getLogger("ragwort");
+}
+
+static log4cxx::LevelPtr toLog4cxx(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::debug:
+        return log4cxx::Level::getDebug();
+    case LogLevel::info:
+        return log4cxx::Level::getInfo();
+    case LogLevel::warning:
+        return log4cxx::Level::getWarn();
+    case LogLevel::error:
+        return log4cxx::Level::getError();
+    }
+    return log4cxx::Level::getError();
+}
+
+void initializeLog(std::string_view process, std::string_view instance, LogLevel threshold)
+{
+    const std::string pattern
+        = "time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ} level=%p process=" + std::string(process) + " instance=" + escapeValue(instance) + " thread=%t %m%n";
+    const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(pattern));
+    const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    log4cxx::BasicConfigurator::resetConfiguration();
+    log4cxx::BasicConfigurator::configure(console);
+    rootLogger()->setLevel(toLog4cxx(threshold));
+}
+
+void logEvent(LogLevel level, std::string_view event, std::span<const LogField> fields)
+{
+    const log4cxx::LoggerPtr logger = rootLogger();
+    const log4cxx::LevelPtr target = toLog4cxx(level);
+    if (!logger->isEnabledFor(target)) {
+        return;
+    }
+    std::string line = "event=" + std::string(event);
+    if (!fields.empty()) {
+        line += ' ' + formatLogFields(fields);
+    }
+    logger->forcedLog(target, line, log4cxx::spi::LocationInfo::getLocationUnavailable());
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Support/TimerService.cpp
@@ -0,0 +1,42 @@
+/// \file
+/// Implementation of the timer service on an ordered map.
+#include "ragwortcart/Support/TimerService.h"
+
+namespace ragwort {
+
+TimerId TimerService::subscribe(Instant at, Callback callback)
+{
+    const TimerId id = ++this->lastId;
+    this->timers.emplace(Position{at, id}, std::move(callback));
+    this->instants.emplace(id, at);
+    return id;
+}
+
+void TimerService::cancel(TimerId id)
+{
+    const auto found = this->instants.find(id);
+    if (found == this->instants.end()) {
+        return;
+    }
+    this->timers.erase(Position{found->second, id});
+    this->instants.erase(found);
+}
+
+void TimerService::advance(Instant now)
+{
+    while (!this->timers.empty() && this->timers.begin()->first.first <= now) {
+        auto node = this->timers.extract(this->timers.begin());
+        this->instants.erase(node.key().second);
+        node.mapped()(now);
+    }
+}
+
+std::optional<Instant> TimerService::nextDeadline() const
+{
+    if (this->timers.empty()) {
+        return std::nullopt;
+    }
+    return this->timers.begin()->first.first;
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Wire/BackendClient.cpp
@@ -0,0 +1,580 @@
+/// \file
+/// The backend client on Boost.Beast: a pool of connections per server.
+#include "ragwortcart/Wire/BackendClient.h"
+
+#include "AsioLoop.h"
+#include "ragwortcart/Support/Hash.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace ragwort {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+static constexpr std::size_t MAXIMUM_ANSWER_BYTES = 4 * 1024 * 1024;
+
+namespace {
+
+struct AttemptKey
+{
+    QueryId query = 0;
+    AttemptId attempt = 0;
+    bool operator==(const AttemptKey &) const = default;
+};
+
+struct AttemptKeyHash
+{
+    std::size_t operator()(const AttemptKey &key) const
+    {
+        return std::hash<std::uint64_t>()(key.query * 1'000'003U + key.attempt);
+    }
+};
+
+/// A request on its way, from the call of send() to its completion.
+struct PendingRequest
+{
+    AttemptKey key;
+    std::string body;
+    std::string traceParent;
+    Instant deadline{};
+    BackendClient::Completion completion;
+};
+
+class Connection;
+using ConnectionPointer = std::shared_ptr<Connection>;
+
+/// Connections and waiting requests of one server.
+struct ServerPool
+{
+    std::string address;
+    std::uint64_t incarnation = 0;
+    int bound = 0;
+    /// Invariant: every connection is in `all`; those without a request are in `idle` too.
+    std::vector<ConnectionPointer> all;
+    std::vector<ConnectionPointer> idle;
+    std::deque<PendingRequest> waiting;
+};
+
+} // namespace
+
+class BackendClient::Core : public std::enable_shared_from_this<BackendClient::Core>
+{
+public:
+    Core(EventLoop &eventLoop, const Options &clientOptions)
+        : loop(eventLoop)
+        , options(clientOptions)
+    {
+    }
+
+    void send(const SubRequest &request, int connectionBound, Completion completion);
+    void cancel(const AttemptKey &key);
+    void pump(ServerPool &pool);
+    void remove(const ConnectionPointer &connection);
+    void release(const ConnectionPointer &connection);
+    void closeAll();
+    void closeIdle(ServerPool &pool);
+    void probe(ServerPool &pool, PendingRequest request);
+    void fetchStatus(const std::string &address, Duration timeout, StatusCompletion completion);
+
+    EventLoop &loop;
+    const Options options;
+    BackendClientCounts counts;
+    std::unordered_map<AttemptKey, ConnectionPointer, AttemptKeyHash> running;
+
+private:
+    ServerPool &poolOf(const std::string &address);
+
+    std::map<std::string, std::unique_ptr<ServerPool>> pools;
+};
+
+namespace {
+
+/// One connection to a server; carries one request at a time.
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(BackendClient::Core &owner, ServerPool &serverPool)
+        : core(owner)
+        , pool(serverPool)
+        , socket(owner.loop.implementation().context)
+        , timer(owner.loop.implementation().context)
+    {
+    }
+
+    void connect(PendingRequest request)
+    {
+        this->current = std::move(request);
+        ++this->core.counts.connects;
+        const std::optional<Tcp::endpoint> endpoint = parseEndpoint(this->pool.address);
+        if (!endpoint) {
+            this->fail(SubFailure::connectFailed);
+            return;
+        }
+        this->armTimer(this->core.options.connectTimeout, [](Connection &self) { self.fail(SubFailure::connectFailed); });
+        this->socket.async_connect(*endpoint, [self = this->shared_from_this()](const ErrorCode &error) {
+            if (self->closed) {
+                return;
+            }
+            if (error) {
+                self->fail(SubFailure::connectFailed);
+                return;
+            }
+            ErrorCode ignored;
+            self->socket.set_option(Tcp::no_delay(true), ignored);
+            self->timer.cancel();
+            self->writeRequest();
+        });
+    }
+
+    void start(PendingRequest request)
+    {
+        this->timer.cancel();
+        this->current = std::move(request);
+        this->writeRequest();
+    }
+
+    /// Gives up the answer: completes nothing, and keeps the connection only if the answer comes soon.
+    void abandon()
+    {
+        ++this->core.counts.abandoned;
+        this->abandoned = true;
+        this->current.completion = nullptr;
+        if (!this->requestSent) {
+            this->close();
+            return;
+        }
+        this->armTimer(this->core.options.cancelGrace, [](Connection &self) { self.close(); });
+    }
+
+    bool isAbandoned() const
+    {
+        return this->abandoned;
+    }
+
+    void watchIdle()
+    {
+        this->armTimer(this->core.options.idleTimeout, [](Connection &self) { self.close(); });
+        const std::uint64_t served = this->servedRequests;
+        this->socket.async_wait(Tcp::socket::wait_read, [self = this->shared_from_this(), served](const ErrorCode &) {
+            // Readable without a request: the server has closed the connection or speaks out of turn.
+            if (!self->closed && self->isIdle && self->servedRequests == served) {
+                self->close();
+            }
+        });
+    }
+
+    void close()
+    {
+        if (this->closed) {
+            return;
+        }
+        this->closed = true;
+        this->timer.cancel();
+        ErrorCode ignored;
+        this->socket.close(ignored);
+        this->core.remove(this->shared_from_this());
+    }
+
+    ServerPool &serverPool()
+    {
+        return this->pool;
+    }
+
+    bool isIdle = false;
+    PendingRequest current;
+
+private:
+    void armTimer(Duration delay, void (*onDue)(Connection &))
+    {
+        this->timer.expires_after(delay);
+        this->timer.async_wait([self = this->shared_from_this(), onDue](const ErrorCode &error) {
+            if (!error && !self->closed) {
+                onDue(*self);
+            }
+        });
+    }
+
+    void writeRequest()
+    {
+        this->isIdle = false;
+        this->requestSent = true;
+        ++this->servedRequests;
+        ++this->core.counts.requests;
+        this->request = {};
+        this->request.method(http::verb::post);
+        this->request.target("/v1/search");
+        this->request.version(11);
+        this->request.set(http::field::host, this->pool.address);
+        this->request.set(http::field::content_type, "application/json");
+        if (!this->current.traceParent.empty()) {
+            this->request.set("traceparent", this->current.traceParent);
+        }
+        this->request.body() = std::move(this->current.body);
+        this->request.prepare_payload();
+        http::async_write(this->socket, this->request, [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
+            if (self->closed) {
+                return;
+            }
+            if (error) {
+                self->failAfterSend();
+                return;
+            }
+            self->readAnswer();
+        });
+    }
+
+    void readAnswer()
+    {
+        this->parser.emplace();
+        this->parser->body_limit(MAXIMUM_ANSWER_BYTES);
+        http::async_read(this->socket, this->buffer, *this->parser, [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
+            if (self->closed) {
+                return;
+            }
+            if (error) {
+                self->failAfterSend();
+                return;
+            }
+            self->onAnswer();
+        });
+    }
+
+    void onAnswer()
+    {
+        const auto &message = this->parser->get();
+        const bool reusable = message.keep_alive() && this->buffer.size() == 0;
+        std::optional<SubOutcome> outcome;
+        if (!this->abandoned) {
+            outcome = this->interpret(message.result_int(), message.body());
+        }
+        const BackendClient::Completion completion = std::exchange(this->current.completion, nullptr);
+        this->core.running.erase(this->current.key);
+        this->abandoned = false;
+        if (reusable) {
+            this->core.release(this->shared_from_this());
+        } else {
+            this->close();
+        }
+        if (completion && outcome) {
+            completion(std::move(*outcome));
+        }
+    }
+
+    SubOutcome interpret(unsigned status, const std::string &body)
+    {
+        if (status == 200) {
+            Result<BackendReply> reply = decodeBackendReply(body, this->pool.address);
+            if (!reply) {
+                return SubFailureReport{.failure = SubFailure::protocol, .report = std::nullopt};
+            }
+            if (reply->query != this->current.key.query || reply->attempt != this->current.key.attempt) {
+                ++this->core.counts.crossed;
+                return SubFailureReport{.failure = SubFailure::protocol, .report = std::nullopt};
+            }
+            this->pool.incarnation = reply->answer.report.incarnation;
+            return std::move(reply->answer);
+        }
+        const Result<BackendRefusal> refusal = decodeBackendRefusal(body, this->pool.address);
+        if (!refusal) {
+            return SubFailureReport{.failure = SubFailure::protocol, .report = std::nullopt};
+        }
+        return SubFailureReport{.failure = refusal->failure, .report = refusal->report};
+    }
+
+    void fail(SubFailure failure)
+    {
+        if (failure == SubFailure::connectFailed) {
+            ++this->core.counts.connectFailures;
+        }
+        const BackendClient::Completion completion = std::exchange(this->current.completion, nullptr);
+        this->core.running.erase(this->current.key);
+        this->close();
+        if (completion) {
+            completion(SubFailureReport{.failure = failure, .report = std::nullopt});
+        }
+    }
+
+    void failAfterSend()
+    {
+        this->core.running.erase(this->current.key);
+        PendingRequest broken = std::move(this->current);
+        this->current = {};
+        ServerPool &serverPool = this->pool;
+        BackendClient::Core &owner = this->core;
+        this->close();
+        if (broken.completion) {
+            owner.probe(serverPool, std::move(broken));
+        }
+    }
+
+    BackendClient::Core &core;
+    ServerPool &pool;
+    Tcp::socket socket;
+    asio::steady_timer timer;
+    boost::beast::flat_buffer buffer;
+    http::request<http::string_body> request;
+    std::optional<http::response_parser<http::string_body>> parser;
+    std::uint64_t servedRequests = 0;
+    /// False while the first request still waits for the connection.
+    bool requestSent = false;
+    bool abandoned = false;
+    bool closed = false;
+};
+
+/// One question for a server's status on a connection of its own.
+class StatusFetch : public std::enable_shared_from_this<StatusFetch>
+{
+public:
+    StatusFetch(EventLoop &loop, std::string serverAddress, BackendClient::StatusCompletion whenDone)
+        : address(std::move(serverAddress))
+        , completion(std::move(whenDone))
+        , socket(loop.implementation().context)
+        , timer(loop.implementation().context)
+    {
+    }
+
+    void start(Duration timeout)
+    {
+        const std::optional<Tcp::endpoint> endpoint = parseEndpoint(this->address);
+        if (!endpoint) {
+            this->finish(this->error(Errc::malformedInput, "connect"));
+            return;
+        }
+        this->timer.expires_after(timeout);
+        this->timer.async_wait([self = this->shared_from_this()](const ErrorCode &error) {
+            if (!error) {
+                self->finish(self->error(Errc::timeout, "status"));
+            }
+        });
+        this->socket.async_connect(*endpoint, [self = this->shared_from_this()](const ErrorCode &error) {
+            if (error) {
+                self->finish(self->error(Errc::connectFailed, "connect"));
+                return;
+            }
+            self->exchange();
+        });
+    }
+
+private:
+    Error error(Errc code, const char *step) const
+    {
+        return {.code = code, .step = step, .peer = this->address, .detail = {}};
+    }
+
+    void exchange()
+    {
+        this->request.method(http::verb::get);
+        this->request.target("/v1/status");
+        this->request.version(11);
+        this->request.set(http::field::host, this->address);
+        this->request.keep_alive(false);
+        http::async_write(this->socket, this->request, [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
+            if (error) {
+                self->finish(self->error(Errc::connectionLost, "status"));
+                return;
+            }
+            http::async_read(self->socket, self->buffer, self->response, [self](const ErrorCode &readError, std::size_t) {
+                if (readError || self->response.result_int() != 200) {
+                    self->finish(self->error(Errc::connectionLost, "status"));
+                    return;
+                }
+                self->finish(decodeServerStatus(self->response.body(), self->address));
+            });
+        });
+    }
+
+    void finish(Result<ServerStatus> result)
+    {
+        const BackendClient::StatusCompletion done = std::exchange(this->completion, nullptr);
+        this->timer.cancel();
+        ErrorCode ignored;
+        this->socket.close(ignored);
+        if (done) {
+            done(std::move(result));
+        }
+    }
+
+    std::string address;
+    BackendClient::StatusCompletion completion;
+    Tcp::socket socket;
+    asio::steady_timer timer;
+    boost::beast::flat_buffer buffer;
+    http::request<http::empty_body> request;
+    http::response<http::string_body> response;
+};
+
+} // namespace
+
+ServerPool &BackendClient::Core::poolOf(const std::string &address)
+{
+    std::unique_ptr<ServerPool> &pool = this->pools[address];
+    if (!pool) {
+        pool = std::make_unique<ServerPool>();
+        pool->address = address;
+    }
+    return *pool;
+}
+
+void BackendClient::Core::send(const SubRequest &request, int connectionBound, Completion completion)
+{
+    ServerPool &pool = this->poolOf(request.address);
+    pool.bound = connectionBound > 0 ? connectionBound : this->options.defaultConnections;
+    pool.waiting.push_back({.key = {.query = request.query, .attempt = request.attempt},
+                            .body = encodeBackendRequest(request, steadyNow()),
+                            .traceParent = request.traceParent,
+                            .deadline = request.deadline,
+                            .completion = std::move(completion)});
+    this->pump(pool);
+}
+
+void BackendClient::Core::pump(ServerPool &pool)
+{
+    while (!pool.waiting.empty()) {
+        if (!pool.idle.empty()) {
+            const ConnectionPointer connection = pool.idle.back();
+            pool.idle.pop_back();
+            PendingRequest request = std::move(pool.waiting.front());
+            pool.waiting.pop_front();
+            this->running[request.key] = connection;
+            connection->start(std::move(request));
+            continue;
+        }
+        if (static_cast<int>(pool.all.size()) < pool.bound) {
+            auto connection = std::make_shared<Connection>(*this, pool);
+            pool.all.push_back(connection);
+            PendingRequest request = std::move(pool.waiting.front());
+            pool.waiting.pop_front();
+            this->running[request.key] = connection;
+            connection->connect(std::move(request));
+            continue;
+        }
+        // A connection that only waits for an abandoned answer makes room.
+        const auto abandoned = std::find_if(pool.all.begin(), pool.all.end(), [](const ConnectionPointer &connection) { return connection->isAbandoned(); });
+        if (abandoned == pool.all.end()) {
+            return;
+        }
+        const ConnectionPointer victim = *abandoned;
+        victim->close();
+        return;
+    }
+}
+
+void BackendClient::Core::remove(const ConnectionPointer &connection)
+{
+    ServerPool &pool = connection->serverPool();
+    std::erase(pool.all, connection);
+    std::erase(pool.idle, connection);
+    this->pump(pool);
+}
+
+void BackendClient::Core::release(const ConnectionPointer &connection)
+{
+    ServerPool &pool = connection->serverPool();
+    if (static_cast<int>(pool.all.size()) > pool.bound) {
+        connection->close();
+        return;
+    }
+    connection->isIdle = true;
+    pool.idle.push_back(connection);
+    connection->watchIdle();
+    this->pump(pool);
+}
+
+void BackendClient::Core::closeIdle(ServerPool &pool)
+{
+    const std::vector<ConnectionPointer> idle = pool.idle;
+    for (const ConnectionPointer &connection : idle) {
+        connection->close();
+    }
+}
+
+void BackendClient::Core::cancel(const AttemptKey &key)
+{
+    const auto found = this->running.find(key);
+    if (found != this->running.end()) {
+        const ConnectionPointer connection = found->second;
+        this->running.erase(found);
+        connection->abandon();
+        this->pump(connection->serverPool());
+        return;
+    }
+    for (const auto &[address, pool] : this->pools) {
+        const auto waiting = std::find_if(pool->waiting.begin(), pool->waiting.end(), [&key](const PendingRequest &request) { return request.key == key; });
+        if (waiting != pool->waiting.end()) {
+            pool->waiting.erase(waiting);
+            return;
+        }
+    }
+}
+
+void BackendClient::Core::probe(ServerPool &pool, PendingRequest request)
+{
+    // The other idle connections of this server may have lost their other end as well.
+    this->closeIdle(pool);
+    const auto completion = std::make_shared<Completion>(std::move(request.completion));
+    this->fetchStatus(pool.address, this->options.probeTimeout, [&pool, completion](const Result<ServerStatus> &status) {
+        const bool sameProcess = status && (pool.incarnation == 0 || status->report.incarnation == pool.incarnation);
+        SubFailureReport report{.failure = sameProcess ? SubFailure::closed : SubFailure::lost, .report = std::nullopt};
+        if (status) {
+            report.report = status->report;
+        }
+        (*completion)(report);
+    });
+}
+
+void BackendClient::Core::fetchStatus(const std::string &address, Duration timeout, StatusCompletion completion)
+{
+    std::make_shared<StatusFetch>(this->loop, address, std::move(completion))->start(timeout);
+}
+
+void BackendClient::Core::closeAll()
+{
+    for (const auto &[address, pool] : this->pools) {
+        pool->waiting.clear();
+        const std::vector<ConnectionPointer> open = pool->all;
+        for (const ConnectionPointer &connection : open) {
+            connection->close();
+        }
+    }
+    this->running.clear();
+}
+
+BackendClient::BackendClient(EventLoop &loop, const Options &options)
+    : core(std::make_shared<Core>(loop, options))
+{
+}
+
+BackendClient::~BackendClient()
+{
+    this->core->closeAll();
+}
+
+void BackendClient::send(const SubRequest &request, int connectionBound, Completion completion)
+{
+    this->core->send(request, connectionBound, std::move(completion));
+}
+
+void BackendClient::cancel(QueryId query, AttemptId attempt)
+{
+    this->core->cancel({.query = query, .attempt = attempt});
+}
+
+void BackendClient::fetchStatus(const std::string &address, Duration timeout, StatusCompletion completion)
+{
+    this->core->fetchStatus(address, timeout, std::move(completion));
+}
+
+const BackendClientCounts &BackendClient::counts() const
+{
+    return this->core->counts;
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Wire/HttpServer.cpp
@@ -0,0 +1,564 @@
+/// \file
+/// The HTTP server on Boost.Beast: one session object per connection, one request at a time on each.
+#include "ragwortcart/Wire/HttpServer.h"
+
+#include "AsioLoop.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <set>
+#include <strings.h>
+#include <sys/socket.h>
+
+namespace ragwort {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+using ReusePortOption = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+std::string_view HttpRequest::header(std::string_view name) const
+{
+    for (const HttpHeader &candidate : this->headers) {
+        if (candidate.name.size() == name.size() && strncasecmp(candidate.name.data(), name.data(), name.size()) == 0) {
+            return candidate.value;
+        }
+    }
+    return {};
+}
+
+namespace {
+
+class Session;
+
+} // namespace
+
+class HttpServer::Core : public std::enable_shared_from_this<HttpServer::Core>
+{
+public:
+    Core(EventLoop &eventLoop, Options serverOptions, HttpHandler requestHandler)
+        : loop(eventLoop)
+        , options(std::move(serverOptions))
+        , handler(std::move(requestHandler))
+        , acceptor(eventLoop.implementation().context)
+    {
+    }
+
+    Result<std::uint16_t> listen();
+    void accept();
+    void drain();
+    void abort();
+    void forget(const std::shared_ptr<Session> &session, const std::string &address);
+    std::size_t openSessions() const
+    {
+        return this->sessions.size();
+    }
+
+    EventLoop &loop;
+    const Options options;
+    HttpHandler handler;
+    HttpServerCounts counts;
+    bool draining = false;
+
+private:
+    bool mayAccept(const std::string &address) const;
+
+    Tcp::acceptor acceptor;
+    std::set<std::shared_ptr<Session>> sessions;
+    /// Invariant: open sessions by remote address; sums to the size of `sessions`.
+    std::map<std::string, std::size_t> sessionsByAddress;
+};
+
+namespace {
+
+/// One connection. Alternates between waiting for a request, reading it, and waiting for its answer; while an answer is
+/// outstanding nothing further is read.
+class Session : public std::enable_shared_from_this<Session>
+{
+public:
+    Session(std::shared_ptr<HttpServer::Core> owner, Tcp::socket acceptedSocket, std::string peerAddress)
+        : core(std::move(owner))
+        , socket(std::move(acceptedSocket))
+        , timer(this->socket.get_executor())
+        , address(std::move(peerAddress))
+        , connectionNumber(this->core->counts.connections)
+    {
+    }
+
+    void start()
+    {
+        this->waitForRequest();
+    }
+
+    void closeIfIdle()
+    {
+        if (!this->busy) {
+            this->close();
+        }
+    }
+
+    void close()
+    {
+        if (this->closed) {
+            return;
+        }
+        this->closed = true;
+        this->timer.cancel();
+        ErrorCode ignored;
+        this->socket.shutdown(Tcp::socket::shutdown_both, ignored);
+        this->socket.close(ignored);
+        this->notifyAbandoned();
+        this->core->forget(this->shared_from_this(), this->address);
+    }
+
+    void respond(std::uint64_t exchange, const HttpResponse &response)
+    {
+        if (this->closed || exchange != this->exchangeNumber || this->answered) {
+            return;
+        }
+        this->answered = true;
+        this->abandonedCallback = nullptr;
+        this->write(response);
+    }
+
+    void onAbandoned(std::uint64_t exchange, std::function<void()> callback)
+    {
+        if (exchange == this->exchangeNumber && !this->answered && !this->closed) {
+            this->abandonedCallback = std::move(callback);
+        }
+    }
+
+    void drop(std::uint64_t exchange)
+    {
+        if (exchange == this->exchangeNumber) {
+            this->abandonedCallback = nullptr;
+            this->close();
+        }
+    }
+
+private:
+    using Parser = http::request_parser<http::string_body>;
+
+    void armTimer(Duration delay, void (Session::*onDue)())
+    {
+        this->timer.expires_after(delay);
+        this->timer.async_wait([self = this->shared_from_this(), onDue](const ErrorCode &error) {
+            if (!error && !self->closed) {
+                (self.get()->*onDue)();
+            }
+        });
+    }
+
+    void waitForRequest()
+    {
+        this->busy = false;
+        this->parser.emplace();
+        this->parser->header_limit(static_cast<std::uint32_t>(this->core->options.maximumHeaderBytes));
+        this->parser->body_limit(this->core->options.maximumBodyBytes);
+        if (this->buffer.size() > 0) {
+            this->readHeader();
+            return;
+        }
+        if (this->core->draining) {
+            this->close();
+            return;
+        }
+        this->armTimer(this->core->options.idleTimeout, &Session::close);
+        this->socket.async_wait(Tcp::socket::wait_read, [self = this->shared_from_this()](const ErrorCode &error) {
+            if (self->closed) {
+                return;
+            }
+            if (error) {
+                self->close();
+                return;
+            }
+            self->readHeader();
+        });
+    }
+
+    void readHeader()
+    {
+        this->busy = true;
+        this->armTimer(this->core->options.requestTimeout, &Session::onRequestTimeout);
+        http::async_read_header(this->socket, this->buffer, *this->parser, [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
+            if (!self->closed) {
+                self->onHeader(error);
+            }
+        });
+    }
+
+    void onHeader(const ErrorCode &error)
+    {
+        if (error) {
+            this->onReadError(error);
+            return;
+        }
+        const auto &message = this->parser->get();
+        if (message.version() >= 11 && message.count(http::field::host) != 1) {
+            this->rejectAndClose(400, "a request must carry exactly one Host");
+            return;
+        }
+        if (message.method() == http::verb::unknown) {
+            this->rejectAndClose(405, "unknown method");
+            return;
+        }
+        if (boost::beast::iequals(message[http::field::expect], "100-continue") && !this->parser->is_done()) {
+            this->sendContinue();
+            return;
+        }
+        this->readBody();
+    }
+
+    void sendContinue()
+    {
+        auto response = std::make_shared<http::response<http::empty_body>>(http::status::continue_, 11);
+        http::async_write(this->socket, *response, [self = this->shared_from_this(), response](const ErrorCode &error, std::size_t) {
+            if (self->closed) {
+                return;
+            }
+            if (error) {
+                self->close();
+                return;
+            }
+            self->readBody();
+        });
+    }
+
+    void readBody()
+    {
+        http::async_read(this->socket, this->buffer, *this->parser, [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
+            if (self->closed) {
+                return;
+            }
+            if (error) {
+                self->onReadError(error);
+                return;
+            }
+            self->dispatchRequest();
+        });
+    }
+
+    void onReadError(const ErrorCode &error)
+    {
+        if (error == http::error::header_limit) {
+            this->rejectAndClose(431, "header too large");
+        } else if (error == http::error::body_limit) {
+            this->rejectAndClose(413, "body too large");
+        } else if (error.category() == http::make_error_code(http::error::bad_value).category() && error != http::error::end_of_stream
+                   && error != http::error::partial_message) {
+            this->rejectAndClose(400, error.message());
+        } else {
+            this->close();
+        }
+    }
+
+    void onRequestTimeout()
+    {
+        this->rejectAndClose(408, "request not complete in time");
+    }
+
+    void rejectAndClose(int status, const std::string &detail)
+    {
+        ++this->core->counts.badRequests;
+        this->answered = true;
+        // Reads that are still pending must not run into the answer.
+        ErrorCode ignored;
+        this->socket.cancel(ignored);
+        this->write({.status = status,
+                     .contentType = "application/problem+json",
+                     .headers = {},
+                     .body = R"({"type":"about:blank","status":)" + std::to_string(status) + R"(,"title":"bad request","run":"not-run","detail":")" + detail
+                         + "\"}",
+                     .close = true});
+    }
+
+    void dispatchRequest();
+
+    /// Looks for the end of the caller's side while its answer is outstanding; stops when further bytes have come.
+    void watchForHangUp()
+    {
+        this->socket.async_wait(Tcp::socket::wait_read, [self = this->shared_from_this(), number = this->exchangeNumber](const ErrorCode &error) {
+            if (self->closed || self->answered || number != self->exchangeNumber) {
+                return;
+            }
+            if (error) {
+                self->abandon();
+                return;
+            }
+            char byte = 0;
+            const ssize_t received = ::recv(self->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            if (received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
+                self->abandon();
+            }
+        });
+    }
+
+    void abandon()
+    {
+        ++this->core->counts.abandoned;
+        this->close();
+    }
+
+    void notifyAbandoned()
+    {
+        if (auto callback = std::exchange(this->abandonedCallback, nullptr)) {
+            callback();
+        }
+    }
+
+    void write(const HttpResponse &response)
+    {
+        this->response.emplace();
+        this->response->version(11);
+        this->response->result(static_cast<unsigned>(response.status));
+        this->response->set(http::field::content_type, response.contentType);
+        for (const HttpHeader &header : response.headers) {
+            this->response->set(header.name, header.value);
+        }
+        const bool keepAlive = !response.close && !this->core->draining && (!this->parser->is_header_done() || this->parser->get().keep_alive());
+        this->response->keep_alive(keepAlive);
+        this->response->body() = response.body;
+        this->response->prepare_payload();
+        this->armTimer(this->core->options.requestTimeout, &Session::close);
+        http::async_write(this->socket, *this->response, [self = this->shared_from_this(), keepAlive](const ErrorCode &error, std::size_t) {
+            if (self->closed) {
+                return;
+            }
+            if (error || !keepAlive) {
+                self->finishAndClose();
+                return;
+            }
+            self->waitForRequest();
+        });
+    }
+
+    /// Reads away what the caller is still sending for a moment, so that the answer is not lost to a reset.
+    void finishAndClose()
+    {
+        static constexpr Duration LINGER_TIME = std::chrono::milliseconds(200);
+        ErrorCode ignored;
+        this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+        this->armTimer(LINGER_TIME, &Session::close);
+        this->discard();
+    }
+
+    void discard()
+    {
+        this->socket.async_read_some(asio::buffer(this->discarded), [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
+            if (self->closed) {
+                return;
+            }
+            if (error) {
+                self->close();
+                return;
+            }
+            self->discard();
+        });
+    }
+
+    std::shared_ptr<HttpServer::Core> core;
+    Tcp::socket socket;
+    asio::steady_timer timer;
+    std::string address;
+    const std::uint64_t connectionNumber;
+    boost::beast::flat_buffer buffer;
+    std::optional<Parser> parser;
+    std::optional<http::response<http::string_body>> response;
+    std::array<char, 4096> discarded{};
+    std::function<void()> abandonedCallback;
+    /// Counts the requests of this connection, so that an answer can only reach its own request.
+    std::uint64_t exchangeNumber = 0;
+    bool answered = true;
+    bool busy = false;
+    bool closed = false;
+};
+
+class SessionExchange final : public HttpExchange
+{
+public:
+    SessionExchange(std::shared_ptr<Session> owner, std::uint64_t exchangeNumber)
+        : session(std::move(owner))
+        , number(exchangeNumber)
+    {
+    }
+
+    void respond(HttpResponse response) override
+    {
+        this->session->respond(this->number, response);
+    }
+
+    void onAbandoned(std::function<void()> callback) override
+    {
+        this->session->onAbandoned(this->number, std::move(callback));
+    }
+
+    void drop() override
+    {
+        this->session->drop(this->number);
+    }
+
+private:
+    std::shared_ptr<Session> session;
+    std::uint64_t number;
+};
+
+void Session::dispatchRequest()
+{
+    this->timer.cancel();
+    ++this->core->counts.requests;
+    ++this->exchangeNumber;
+    this->answered = false;
+    const auto &message = this->parser->get();
+    HttpRequest request{.method = std::string(message.method_string()),
+                        .target = std::string(message.target()),
+                        .headers = {},
+                        .body = std::move(this->parser->get().body()),
+                        .peer = this->address,
+                        .connection = this->connectionNumber,
+                        .numberOnConnection = this->exchangeNumber};
+    for (const auto &field : message) {
+        request.headers.push_back({.name = std::string(field.name_string()), .value = std::string(field.value())});
+    }
+    this->watchForHangUp();
+    this->core->handler(std::move(request), std::make_shared<SessionExchange>(this->shared_from_this(), this->exchangeNumber));
+}
+
+} // namespace
+
+static Error listenError(const std::string &address, const ErrorCode &error)
+{
+    return {.code = std::error_code(error.value(), std::system_category()), .step = "listen", .peer = address, .detail = error.message()};
+}
+
+Result<std::uint16_t> HttpServer::Core::listen()
+{
+    const std::optional<Tcp::endpoint> endpoint = parseEndpoint(this->options.address);
+    if (!endpoint) {
+        return Error{.code = Errc::malformedInput, .step = "listen", .peer = this->options.address, .detail = "not an address by number"};
+    }
+    ErrorCode error;
+    this->acceptor.open(endpoint->protocol(), error);
+    if (!error) {
+        this->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error && this->options.reusePort) {
+        this->acceptor.set_option(ReusePortOption(true), error);
+    }
+    if (!error) {
+        this->acceptor.bind(*endpoint, error);
+    }
+    if (!error) {
+        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return listenError(this->options.address, error);
+    }
+    const std::uint16_t port = this->acceptor.local_endpoint().port();
+    this->accept();
+    return port;
+}
+
+bool HttpServer::Core::mayAccept(const std::string &address) const
+{
+    const auto found = this->sessionsByAddress.find(address);
+    const std::size_t fromAddress = found == this->sessionsByAddress.end() ? 0 : found->second;
+    return this->sessions.size() < this->options.maximumConnections && fromAddress < this->options.maximumConnectionsPerAddress;
+}
+
+void HttpServer::Core::accept()
+{
+    this->acceptor.async_accept([self = this->shared_from_this()](const ErrorCode &error, Tcp::socket socket) {
+        if (self->draining || error == asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            ErrorCode ignored;
+            socket.set_option(Tcp::no_delay(true), ignored);
+            const Tcp::endpoint remote = socket.remote_endpoint(ignored);
+            const std::string address = remote.address().to_string();
+            if (self->mayAccept(address)) {
+                ++self->counts.connections;
+                auto session = std::make_shared<Session>(self, std::move(socket), address);
+                self->sessions.insert(session);
+                ++self->sessionsByAddress[address];
+                self->counts.mostConnections = std::max(self->counts.mostConnections, self->sessions.size());
+                session->start();
+            } else {
+                ++self->counts.refusedConnections;
+            }
+        }
+        self->accept();
+    });
+}
+
+void HttpServer::Core::forget(const std::shared_ptr<Session> &session, const std::string &address)
+{
+    if (this->sessions.erase(session) == 0) {
+        return;
+    }
+    const auto found = this->sessionsByAddress.find(address);
+    if (found != this->sessionsByAddress.end() && --found->second == 0) {
+        this->sessionsByAddress.erase(found);
+    }
+}
+
+void HttpServer::Core::drain()
+{
+    this->draining = true;
+    ErrorCode ignored;
+    this->acceptor.close(ignored);
+    const std::set<std::shared_ptr<Session>> open = this->sessions;
+    for (const auto &session : open) {
+        session->closeIfIdle();
+    }
+}
+
+void HttpServer::Core::abort()
+{
+    this->draining = true;
+    ErrorCode ignored;
+    this->acceptor.close(ignored);
+    const std::set<std::shared_ptr<Session>> open = this->sessions;
+    for (const auto &session : open) {
+        session->close();
+    }
+}
+
+HttpServer::HttpServer(EventLoop &loop, Options options, HttpHandler handler)
+    : core(std::make_shared<Core>(loop, std::move(options), std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    this->core->abort();
+    this->core->handler = nullptr;
+}
+
+Result<std::uint16_t> HttpServer::listen()
+{
+    return this->core->listen();
+}
+
+void HttpServer::drain()
+{
+    this->core->drain();
+}
+
+void HttpServer::abort()
+{
+    this->core->abort();
+}
+
+HttpServerCounts HttpServer::counts() const
+{
+    HttpServerCounts counts = this->core->counts;
+    counts.openConnections = this->core->openSessions();
+    return counts;
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/utils/demo.py
@@ -0,0 +1,73 @@
+"""The main job: a Turnos deployment with six entry instances answers searches and one action, then shuts down."""
+
+import shutil
+import statistics
+import sys
+import tempfile
+import os
+
+from fleet import ROOT, Fleet
+
+QUERIES_PER_KIND = 60
+KINDS = ["roster", "name", "schedule"]
+
+
+def percentile(values, share):
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def run_queries(fleet):
+    elapsed, coverages, faults = [], [], []
+    for number in range(QUERIES_PER_KIND):
+        for kind in KINDS:
+            entry = fleet.entries[number % len(fleet.entries)]
+            status, _, answer = fleet.search(entry, kind, f"duty {number % 20}")
+            if status != 200:
+                faults.append(f"{kind} at {entry['id']}: status {status}, {answer}")
+                continue
+            elapsed.append(answer["cost"]["elapsed_us"] / 1000)
+            coverages.append(answer["coverage"]["fraction"])
+            if number < 2:
+                best = answer["results"][0]
+                print(
+                    f"{entry['id']} {kind}: snapshot={answer['snapshot']} documents={answer['coverage']['documents']}"
+                    f"/{answer['coverage']['documents_total']} best='{best['text']}' score={best['score']}"
+                    f" sub_requests={answer['cost']['sub_requests']} elapsed_us={answer['cost']['elapsed_us']}"
+                )
+    return elapsed, coverages, faults
+
+
+def run_action(fleet, faults):
+    first = fleet.act(fleet.entries[0], "swap", "swap monday gate and yard", "demo-swap-1")
+    again = fleet.act(fleet.entries[1], "swap", "swap monday gate and yard", "demo-swap-1")
+    runs = fleet.action_runs().get("turnos/demo-swap-1", 0)
+    print(f"swap: status={first[0]} outcome='{first[2].get('outcome')}'; repeated elsewhere: replayed={again[2].get('replayed')}; runs={runs}")
+    if first[0] != 200 or again[0] != 200 or not again[2].get("replayed") or runs != 1:
+        faults.append(f"swap: {first} {again} runs={runs}")
+
+
+def main():
+    work_dir = tempfile.mkdtemp(prefix="ragwort-demo-")
+    fleet = Fleet(os.path.join(ROOT, "examples/turnos-fleet.ini"), os.path.join(ROOT, "examples/turnos-questionnaire.ini"), work_dir)
+    try:
+        fleet.start()
+        print(fleet.ctl("status").stdout, end="")
+        elapsed, coverages, faults = run_queries(fleet)
+        run_action(fleet, faults)
+    except Exception as error:  # The processes must be stopped whatever went wrong.
+        elapsed, coverages, faults = [], [], [repr(error)]
+    faults += [f"did not stop cleanly: {line}" for line in fleet.stop()]
+    for fault in faults:
+        print("fault: " + fault, file=sys.stderr)
+    if faults or not elapsed:
+        print(f"demo: failed, logs in {work_dir}")
+        return 1
+    shutil.rmtree(work_dir)
+    coverage = statistics.mean(coverages)
+    print(f"demo: ok queries={len(elapsed)} coverage={coverage:.4f} p50_ms={percentile(elapsed, 0.5):.1f} p99_ms={percentile(elapsed, 0.99):.1f}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/utils/fleet.py
@@ -0,0 +1,217 @@
+"""Starts and stops an emulated deployment: stand-ins and entry instances, as separate processes on loopback."""
+
+import configparser
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+READY_TIMEOUT_S = 30
+STOP_TIMEOUT_S = 40
+PLATFORM = "127.0.0.1:19000"
+CONTROL = "127.0.0.1:19001"
+
+
+def http(address, path, body=None, headers=None, method=None, timeout=5):
+    """Returns (status, headers, body) of one HTTP call; the body is text."""
+    data = None if body is None else body.encode()
+    request = urllib.request.Request(f"http://{address}{path}", data=data, headers=headers or {}, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as response:
+            return response.status, dict(response.headers), response.read().decode()
+    except urllib.error.HTTPError as error:
+        return error.code, dict(error.headers), error.read().decode()
+
+
+class Fleet:
+    """One emulated deployment. Use as a context manager; leaving it stops every process that it started."""
+
+    def __init__(self, fleet_file, questionnaire, work_dir, build_dir=None, workers=2, drain_delay="200ms", log_level="info", port_shift=0):
+        self.build_dir = build_dir or os.environ.get("RAGWORT_BUILD", os.path.join(ROOT, "build"))
+        self.work_dir = work_dir
+        self.workers = workers
+        self.drain_delay = drain_delay
+        self.log_level = log_level
+        self.questionnaire = questionnaire
+        self.processes = {}
+        self.platform = shift(PLATFORM, port_shift)
+        self.control = shift(CONTROL, port_shift)
+        os.makedirs(work_dir, exist_ok=True)
+        self.fleet_file = self._shifted_fleet(fleet_file, port_shift)
+        self.entries = self._plan_entries()
+
+    def _shifted_fleet(self, fleet_file, port_shift):
+        parser = configparser.ConfigParser()
+        parser.read(fleet_file)
+        for section in parser.sections():
+            if parser.has_option(section, "base_port"):
+                parser.set(section, "base_port", str(parser.getint(section, "base_port") + port_shift))
+        path = os.path.join(self.work_dir, "fleet.ini")
+        with open(path, "w") as file:
+            parser.write(file)
+        return path
+
+    def _plan_entries(self):
+        parser = configparser.ConfigParser()
+        parser.read(self.fleet_file)
+        domains = [name.strip() for name in parser.get("fleet", "domains").split(",")]
+        base = parser.getint("entry", "base_port")
+        entries = []
+        for index in range(parser.getint("entry", "instances")):
+            entries.append(
+                {
+                    "id": f"entry-{index}",
+                    "domain": domains[index % len(domains)],
+                    "callers": f"127.0.0.1:{base + index}",
+                    "operators": f"127.0.0.1:{base + 100 + index}",
+                    "peers": f"127.0.0.1:{base + 200 + index}",
+                }
+            )
+        return entries
+
+    def tool(self, name):
+        return os.path.join(self.build_dir, "bin", name)
+
+    def start_process(self, name, arguments):
+        log = open(os.path.join(self.work_dir, name + ".log"), "a")
+        self.processes[name] = subprocess.Popen(arguments, stdout=log, stderr=log)
+        log.close()
+
+    def start_entry(self, entry):
+        path = os.path.join(self.work_dir, entry["id"] + ".ini")
+        with open(path, "w") as file:
+            file.write(
+                f"[instance]\nid = {entry['id']}\nfailure_domain = {entry['domain']}\n"
+                f"[callers]\naddress = {entry['callers']}\n[operators]\naddress = {entry['operators']}\n"
+                f"[peers]\naddress = {entry['peers']}\n[platform]\naddress = {self.platform}\n"
+                f"[threads]\nworkers = {self.workers}\n[shutdown]\ndrain_delay = {self.drain_delay}\n"
+                f"[log]\nlevel = {self.log_level}\n"
+            )
+        self.start_process(entry["id"], [self.tool("ragwort-entry"), f"--settings={path}"])
+
+    def start(self, apply=True):
+        self.start_process("platform", [self.tool("ragwort-fake-platform"), f"--fleet={self.fleet_file}", f"--address={self.platform}"])
+        self.start_process("backend", [self.tool("ragwort-fake-backend"), f"--fleet={self.fleet_file}", f"--control={self.control}"])
+        for entry in self.entries:
+            self.start_entry(entry)
+        self.await_http(self.platform, "/fake/counts")
+        self.await_http(self.control, "/fake/counts")
+        if apply:
+            result = self.ctl("apply", self.questionnaire)
+            if result.returncode != 0:
+                raise RuntimeError("apply failed: " + result.stderr)
+            self.await_ready()
+
+    def ctl(self, *arguments):
+        return subprocess.run(
+            [self.tool("ragwortctl"), f"--platform={self.platform}", *arguments], capture_output=True, text=True, timeout=60, check=False
+        )
+
+    def await_http(self, address, path, wanted=200):
+        end = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < end:
+            try:
+                if http(address, path, timeout=1)[0] == wanted:
+                    return
+            except OSError:
+                pass
+            time.sleep(0.05)
+        raise RuntimeError(f"{address}{path} did not answer with {wanted} in time")
+
+    def await_ready(self, entries=None):
+        for entry in entries or self.entries:
+            self.await_http(entry["operators"], "/readyz")
+
+    def order(self, path, body):
+        status, _, text = http(self.control, path, json.dumps(body))
+        if status != 200:
+            raise RuntimeError(f"order {path} failed: {text}")
+        return json.loads(text)
+
+    def platform_order(self, path, body):
+        status, _, text = http(self.platform, path, json.dumps(body))
+        if status != 200:
+            raise RuntimeError(f"order {path} failed: {text}")
+
+    def backend_counts(self):
+        return json.loads(http(self.control, "/fake/counts")[2])
+
+    def action_runs(self):
+        return json.loads(http(self.control, "/fake/actions")[2])
+
+    def state(self, entry):
+        return json.loads(http(entry["operators"], "/state")[2])
+
+    def metric(self, entry, name):
+        """The sum of a metric over its labels."""
+        total = 0.0
+        for line in http(entry["operators"], "/metrics")[2].splitlines():
+            if line.startswith(name + "{"):
+                total += float(line.rsplit(" ", 1)[1])
+        return total
+
+    def search(self, entry, kind, text, deadline_ms=500, team="turnos", limit=10):
+        body = json.dumps({"query": text, "limit": limit})
+        headers = {"Content-Type": "application/json", "Ragwort-Deadline-Ms": str(deadline_ms)}
+        status, response_headers, answer = http(entry["callers"], f"/v1/teams/{team}/search/{kind}", body, headers)
+        return status, response_headers, json.loads(answer)
+
+    def act(self, entry, kind, text, key, deadline_ms=2000, team="turnos"):
+        headers = {"Content-Type": "application/json", "Ragwort-Deadline-Ms": str(deadline_ms), "Idempotency-Key": key}
+        status, response_headers, answer = http(entry["callers"], f"/v1/teams/{team}/actions/{kind}", json.dumps({"query": text}), headers)
+        return status, response_headers, json.loads(answer)
+
+    def load(self, text, json_output=True):
+        path = os.path.join(self.work_dir, "experiment.ini")
+        with open(path, "w") as file:
+            file.write(text)
+        arguments = [self.tool("ragwort-load"), f"--experiment={path}"] + (["--json"] if json_output else [])
+        result = subprocess.run(arguments, capture_output=True, text=True, check=True)
+        return json.loads(result.stdout) if json_output else result.stdout
+
+    def stop_process(self, name):
+        """Asks one process to stop and returns its exit code."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGTERM)
+        return process.wait(timeout=STOP_TIMEOUT_S)
+
+    def kill_process(self, name):
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def stop(self):
+        """Stops everything; returns the names of the processes that did not end cleanly."""
+        failed = []
+        entries = [entry["id"] for entry in self.entries if entry["id"] in self.processes]
+        for name in entries:
+            self.processes[name].send_signal(signal.SIGCONT)
+            self.processes[name].send_signal(signal.SIGTERM)
+        for name in entries + [name for name in self.processes if name not in entries]:
+            process = self.processes.pop(name)
+            process.send_signal(signal.SIGTERM)
+            try:
+                code = process.wait(timeout=STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                code = process.wait()
+            if code != 0:
+                failed.append(f"{name} (exit code {code})")
+        return failed
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for line in self.stop():
+            print("did not stop cleanly: " + line, file=sys.stderr)
+
+
+def shift(address, ports):
+    host, port = address.rsplit(":", 1)
+    return f"{host}:{int(port) + ports}"
