--- a/include/ragwortcart/Kernel/KernelMessages.h
+++ b/include/ragwortcart/Kernel/KernelMessages.h
@@ -173,8 +173,8 @@
     std::string server;
 };
 
-using KernelAction = std::
-    variant<SendSubRequest, CancelSubRequest, ReplyToCaller, RequestClaim, RecordClaimOutcome, AccuseContent, AnnounceWarmUp, ReportDecision>;
+using KernelAction
+    = std::variant<SendSubRequest, CancelSubRequest, ReplyToCaller, RequestClaim, RecordClaimOutcome, AccuseContent, AnnounceWarmUp, ReportDecision>;
 
 } // namespace ragwort
 
--- a/include/ragwortcart/Kernel/ServerRecord.h
+++ b/include/ragwortcart/Kernel/ServerRecord.h
@@ -27,8 +27,7 @@
 class ServerRecord
 {
 public:
-    explicit ServerRecord(ServerIdentity serverIdentity)
-        : identity(std::move(serverIdentity))
+    explicit ServerRecord(ServerIdentity serverIdentity) : identity(std::move(serverIdentity))
     {
     }
 
--- a/include/ragwortcart/Support/Error.h
+++ b/include/ragwortcart/Support/Error.h
@@ -54,7 +54,7 @@
 };
 
 /// Either a value or an `Error`.
-template<typename Value>
+template <typename Value>
 class Result
 {
 public:
@@ -101,7 +101,7 @@
 
 } // namespace ragwort
 
-template<>
+template <>
 struct std::is_error_code_enum<ragwort::Errc> : std::true_type
 {
 };
--- a/include/ragwortcart/Support/PluginRegistry.h
+++ b/include/ragwortcart/Support/PluginRegistry.h
@@ -14,7 +14,7 @@
 namespace ragwort {
 
 /// Factories of the implementations of \p Interface by name. Filled before main(), read-only afterwards.
-template<typename Interface>
+template <typename Interface>
 class PluginRegistry
 {
 public:
@@ -52,7 +52,7 @@
 };
 
 /// Registers \p Implementation under a name; define one file-local object of it in a plug-in.
-template<typename Interface, typename Implementation>
+template <typename Interface, typename Implementation>
 class PluginRegistration
 {
 public:
--- a/include/ragwortcart/Support/Published.h
+++ b/include/ragwortcart/Support/Published.h
@@ -15,14 +15,13 @@
 namespace ragwort {
 
 /// Holds the current immutable version of a value. Any thread may publish.
-template<typename Value>
+template <typename Value>
 class Published
 {
 public:
     using Pointer = std::shared_ptr<const Value>;
 
-    explicit Published(Pointer initial)
-        : value(std::move(initial))
+    explicit Published(Pointer initial) : value(std::move(initial))
     {
     }
 
@@ -45,8 +44,7 @@
     class Reader
     {
     public:
-        explicit Reader(const Published &published)
-            : source(&published)
+        explicit Reader(const Published &published) : source(&published)
         {
         }
 
--- a/lib/Control/ClaimBook.cpp
+++ b/lib/Control/ClaimBook.cpp
@@ -19,9 +19,8 @@
 {
     QJsonObject object;
     for (const auto &[key, claim] : claims) {
-        QJsonObject entry{{"token", QString::fromStdString(claim.token)},
-                          {"fp", QString::fromStdString(claim.fingerprint)},
-                          {"at", static_cast<qint64>(claim.claimedAtMs)}};
+        QJsonObject entry{
+            {"token", QString::fromStdString(claim.token)}, {"fp", QString::fromStdString(claim.fingerprint)}, {"at", static_cast<qint64>(claim.claimedAtMs)}};
         if (claim.ran) {
             entry.insert("ran", true);
             entry.insert("outcome", QString::fromStdString(claim.outcome));
@@ -59,8 +58,7 @@
     return static_cast<int>(stableHash(key) % CLAIM_BUCKETS);
 }
 
-ClaimBook::ClaimBook(std::string ownInstance)
-    : instance(std::move(ownInstance))
+ClaimBook::ClaimBook(std::string ownInstance) : instance(std::move(ownInstance))
 {
 }
 
@@ -202,8 +200,7 @@
             done = true;
             return false;
         }
-        claims[operation.key]
-            = {.token = operation.token, .fingerprint = operation.fingerprint, .claimedAtMs = wallMs, .ran = false, .outcome = {}};
+        claims[operation.key] = {.token = operation.token, .fingerprint = operation.fingerprint, .claimedAtMs = wallMs, .ran = false, .outcome = {}};
         return true;
     }
     const Claim &claim = found->second;
--- a/lib/Control/ConfigurationKeeper.cpp
+++ b/lib/Control/ConfigurationKeeper.cpp
@@ -4,8 +4,7 @@
 
 namespace ragwort {
 
-ConfigurationKeeper::ConfigurationKeeper()
-    : configuration(std::make_shared<const Configuration>())
+ConfigurationKeeper::ConfigurationKeeper() : configuration(std::make_shared<const Configuration>())
 {
 }
 
@@ -46,8 +45,9 @@
     const Result<TeamConfiguration> team = decodeTeam(json, source);
     if (!team || teamDocument(team->name) != name) {
         if (fault != nullptr) {
-            *fault = team ? Error{.code = Errc::malformedInput, .step = "offer-configuration", .peer = source, .detail = "document '" + name + "' holds another team"}
-                          : team.error();
+            *fault = team
+                ? Error{.code = Errc::malformedInput, .step = "offer-configuration", .peer = source, .detail = "document '" + name + "' holds another team"}
+                : team.error();
         }
         return OfferResult::rejected;
     }
--- a/lib/Control/Freshness.cpp
+++ b/lib/Control/Freshness.cpp
@@ -6,8 +6,7 @@
 
 namespace ragwort {
 
-Freshness::Freshness(std::string ownDomain)
-    : domain(std::move(ownDomain))
+Freshness::Freshness(std::string ownDomain) : domain(std::move(ownDomain))
 {
 }
 
--- a/lib/Control/SeatKeeper.cpp
+++ b/lib/Control/SeatKeeper.cpp
@@ -31,8 +31,7 @@
     return table;
 }
 
-SeatKeeper::SeatKeeper(std::string ownInstance)
-    : instance(std::move(ownInstance))
+SeatKeeper::SeatKeeper(std::string ownInstance) : instance(std::move(ownInstance))
 {
 }
 
--- a/lib/Control/ServerDirectory.cpp
+++ b/lib/Control/ServerDirectory.cpp
@@ -8,9 +8,7 @@
 
 namespace ragwort {
 
-ServerDirectory::ServerDirectory(std::string ownInstance, std::string ownDomain)
-    : instance(std::move(ownInstance))
-    , domain(std::move(ownDomain))
+ServerDirectory::ServerDirectory(std::string ownInstance, std::string ownDomain) : instance(std::move(ownInstance)), domain(std::move(ownDomain))
 {
 }
 
@@ -170,7 +168,8 @@
         return;
     }
     for (const HeldSnapshot &held : found->second.status.snapshots) {
-        auto layout = std::find_if(group.snapshots.begin(), group.snapshots.end(), [&held](const SnapshotLayout &candidate) { return candidate.id == held.id; });
+        auto layout
+            = std::find_if(group.snapshots.begin(), group.snapshots.end(), [&held](const SnapshotLayout &candidate) { return candidate.id == held.id; });
         if (layout == group.snapshots.end()) {
             layout = group.snapshots.insert(group.snapshots.end(), SnapshotLayout{.id = held.id});
         }
--- a/lib/Emulator/FakeBackendFleet.cpp
+++ b/lib/Emulator/FakeBackendFleet.cpp
@@ -14,9 +14,7 @@
 static constexpr std::size_t KEPT_SNAPSHOTS = 2;
 static constexpr int SHIFT_PARTS = 8;
 
-FakeIndex::FakeIndex(const PlannedGroup &group)
-    : services(group.services)
-    , documents(group.documents)
+FakeIndex::FakeIndex(const PlannedGroup &group) : services(group.services), documents(group.documents)
 {
 }
 
--- a/lib/Emulator/FakePlatform.cpp
+++ b/lib/Emulator/FakePlatform.cpp
@@ -115,10 +115,8 @@
         const auto wait = target.query.find("wait");
         const std::optional<Duration> time = wait == target.query.end() ? std::nullopt : parseDuration(wait->second);
         ++this->counts.watches;
-        this->watches.push_back({.request = request,
-                                 .exchange = exchange,
-                                 .index = std::stoull('0' + index->second),
-                                 .deadline = steadyNow() + time.value_or(DEFAULT_WATCH_TIME)});
+        this->watches.push_back(
+            {.request = request, .exchange = exchange, .index = std::stoull('0' + index->second), .deadline = steadyNow() + time.value_or(DEFAULT_WATCH_TIME)});
         return;
     }
     HttpResponse response = plain(404, "");
--- a/lib/Emulator/FakeServer.cpp
+++ b/lib/Emulator/FakeServer.cpp
@@ -28,11 +28,7 @@
 }
 
 FakeServer::FakeServer(EventLoop &eventLoop, const PlannedServer &plannedServer, const PlannedGroup &plannedGroup, std::uint64_t seed)
-    : planned(plannedServer)
-    , loop(eventLoop)
-    , group(plannedGroup)
-    , random(seed)
-    , incarnation(stableHash(plannedServer.id, seed) >> 16U)
+    : planned(plannedServer), loop(eventLoop), group(plannedGroup), random(seed), incarnation(stableHash(plannedServer.id, seed) >> 16U)
 {
 }
 
@@ -43,9 +39,8 @@
     const HttpServer::Options options{.address = this->planned.address,
                                       .maximumConnections = static_cast<std::size_t>(this->group.connections),
                                       .maximumConnectionsPerAddress = static_cast<std::size_t>(this->group.connections)};
-    return std::make_unique<HttpServer>(this->loop, options, [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
-        this->handle(std::move(request), std::move(exchange));
-    });
+    return std::make_unique<HttpServer>(
+        this->loop, options, [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) { this->handle(std::move(request), std::move(exchange)); });
 }
 
 Result<std::uint16_t> FakeServer::start()
--- a/lib/Emulator/FakeStore.cpp
+++ b/lib/Emulator/FakeStore.cpp
@@ -116,7 +116,8 @@
     for (auto entry = this->entries.lower_bound(prefix); entry != this->entries.end() && std::string_view(entry->first).starts_with(prefix); ++entry) {
         highest = std::max(highest, entry->second.modifyIndex);
     }
-    for (auto removal = this->removals.lower_bound(prefix); removal != this->removals.end() && std::string_view(removal->first).starts_with(prefix); ++removal) {
+    for (auto removal = this->removals.lower_bound(prefix); removal != this->removals.end() && std::string_view(removal->first).starts_with(prefix);
+         ++removal) {
         highest = std::max(highest, removal->second);
     }
     return std::max<std::uint64_t>(highest, 1);
--- a/lib/Emulator/FleetPlan.cpp
+++ b/lib/Emulator/FleetPlan.cpp
@@ -18,7 +18,8 @@
             .connections = static_cast<int>(settings.integer(section, "connections", {.minimum = 1, .maximum = 10'000})),
             .coldCapacity = static_cast<int>(settings.integer(section, "cold_capacity", {.minimum = 1, .maximum = 1000, .fallback = 1})),
             .connectTime = settings.duration(section, "connect_time", {.minimum = Duration(0), .maximum = std::chrono::seconds(1)}),
-            .serviceTime = settings.duration(section, "service_time", {.minimum = Duration(1), .maximum = std::chrono::seconds(1), .fallback = milliseconds(4)}),
+            .serviceTime
+            = settings.duration(section, "service_time", {.minimum = Duration(1), .maximum = std::chrono::seconds(1), .fallback = milliseconds(4)}),
             .basePort = static_cast<int>(settings.integer(section, "base_port", {.minimum = 1024, .maximum = MAXIMUM_PORT})),
             .documents = static_cast<std::uint64_t>(settings.integer(section, "documents", {.minimum = 1, .maximum = 10'000'000, .fallback = 10'000}))};
 }
--- a/lib/Emulator/LoadRun.cpp
+++ b/lib/Emulator/LoadRun.cpp
@@ -38,13 +38,14 @@
         settings.addFault("load", "targets", "nothing", "a comma-separated list of callers' addresses");
     }
     for (const std::string &section : settings.sectionsWithPrefix("kind.")) {
-        plan.kinds.push_back({.team = settings.text(section, "team"),
-                              .name = section.substr(5),
-                              .action = settings.text(section, "action", {.fallback = "no", .choices = {"yes", "no"}}) == "yes",
-                              .rate = static_cast<double>(settings.integer(section, "rate", {.minimum = 0, .maximum = 100'000})),
-                              .deadlineMs = toMs(settings.duration(section, "deadline", {.minimum = std::chrono::milliseconds(10), .maximum = seconds(600)})),
-                              .distinctTexts = static_cast<int>(settings.integer(section, "distinct_texts", {.minimum = 1, .maximum = 10'000'000, .fallback = 1000})),
-                              .freshTexts = settings.text(section, "fresh_texts", {.fallback = "no", .choices = {"yes", "no"}}) == "yes"});
+        plan.kinds.push_back(
+            {.team = settings.text(section, "team"),
+             .name = section.substr(5),
+             .action = settings.text(section, "action", {.fallback = "no", .choices = {"yes", "no"}}) == "yes",
+             .rate = static_cast<double>(settings.integer(section, "rate", {.minimum = 0, .maximum = 100'000})),
+             .deadlineMs = toMs(settings.duration(section, "deadline", {.minimum = std::chrono::milliseconds(10), .maximum = seconds(600)})),
+             .distinctTexts = static_cast<int>(settings.integer(section, "distinct_texts", {.minimum = 1, .maximum = 10'000'000, .fallback = 1000})),
+             .freshTexts = settings.text(section, "fresh_texts", {.fallback = "no", .choices = {"yes", "no"}}) == "yes"});
     }
     for (const std::string &section : settings.sectionsWithPrefix("order.")) {
         plan.orders.push_back({.at = settings.duration(section, "at", {.minimum = Duration(0), .maximum = hours(1)}),
@@ -75,8 +76,7 @@
 public:
     using Completion = std::function<void(const LoadAnswer &, bool reusable)>;
 
-    explicit LoadConnection(asio::io_context &context)
-        : stream(context)
+    explicit LoadConnection(asio::io_context &context) : stream(context)
     {
     }
 
@@ -145,9 +145,7 @@
 class LoadRunner
 {
 public:
-    explicit LoadRunner(const LoadPlan &loadPlan)
-        : plan(loadPlan)
-        , random(loadPlan.seed)
+    explicit LoadRunner(const LoadPlan &loadPlan) : plan(loadPlan), random(loadPlan.seed)
     {
     }
 
@@ -246,14 +244,15 @@
             connection = idle.back();
             idle.pop_back();
         }
-        connection->exchange(target, std::move(message), timeout, [this, &idle, connection, whenDone = std::move(whenDone)](const LoadAnswer &answer, bool reusable) {
-            if (reusable) {
-                idle.push_back(connection);
-            }
-            whenDone(answer);
-            --this->running;
-            this->stopIfDone();
-        });
+        connection->exchange(
+            target, std::move(message), timeout, [this, &idle, connection, whenDone = std::move(whenDone)](const LoadAnswer &answer, bool reusable) {
+                if (reusable) {
+                    idle.push_back(connection);
+                }
+                whenDone(answer);
+                --this->running;
+                this->stopIfDone();
+            });
     }
 
     void stopIfDone()
--- a/lib/Kernel/AdmissionQueue.cpp
+++ b/lib/Kernel/AdmissionQueue.cpp
@@ -65,9 +65,8 @@
             order.push_back(team);
         }
     }
-    std::stable_sort(order.begin(), order.end(), [this](const std::string &left, const std::string &right) {
-        return this->served[left] < this->served[right];
-    });
+    std::stable_sort(
+        order.begin(), order.end(), [this](const std::string &left, const std::string &right) { return this->served[left] < this->served[right]; });
     for (const std::string &team : order) {
         std::deque<WaitingQuery> &line = urgencyClass.teams[team].line;
         const auto found = std::find_if(line.begin(), line.end(), mayEnter);
--- a/lib/Kernel/AttemptSteps.cpp
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -176,8 +176,7 @@
     for (PartAttempt &attempt : part.attempts) {
         if (attempt.open) {
             this->closeAttempt(attempt);
-            this->actions.emplace_back(
-                CancelSubRequest{.query = query.request.id, .attempt = attempt.id, .serverId = attempt.server->identity.id});
+            this->actions.emplace_back(CancelSubRequest{.query = query.request.id, .attempt = attempt.id, .serverId = attempt.server->identity.id});
         }
     }
 }
@@ -214,8 +213,9 @@
     PartAttempt &attempt = part.attempts[found->attempt];
     const ServerPointer server = attempt.server;
     const bool action = !query->kind->repeatable;
-    const bool matches = action || (event.answer.snapshot == query->snapshot && !event.answer.range.empty() && event.answer.range.begin >= part.range.begin
-                                    && event.answer.range.end <= part.range.end);
+    const bool matches = action
+        || (event.answer.snapshot == query->snapshot && !event.answer.range.empty() && event.answer.range.begin >= part.range.begin
+            && event.answer.range.end <= part.range.end);
     if (!matches) {
         this->report(Reason::wrongSnapshotDropped, event.query, server->identity.id);
         this->onSubFailed({.query = event.query, .attempt = event.attempt, .failure = SubFailure::protocol, .report = event.answer.report}, now);
@@ -305,8 +305,7 @@
     if (event.failure == SubFailure::lost && query->canaryPending) {
         // Only unknown content is accused: content that was answered before does not crash every server that runs it.
         this->report(Reason::contentAccused, event.query, server->identity.id);
-        this->actions.emplace_back(
-            AccuseContent{.query = event.query, .fingerprint = query->request.fingerprint, .serverId = server->identity.id});
+        this->actions.emplace_back(AccuseContent{.query = event.query, .fingerprint = query->request.fingerprint, .serverId = server->identity.id});
         part.state = PartState::accusing;
         this->timers.cancel(part.hedgeTimer);
         return;
@@ -326,10 +325,8 @@
         return;
     }
     GroupState &state = this->groupState(query.key);
-    const RetryQuestion question{.failure = failure,
-                                 .attemptsOfPart = static_cast<int>(part.attempts.size()),
-                                 .urgency = query.kind->urgency,
-                                 .timeLeft = query.timeLeft(now)};
+    const RetryQuestion question{
+        .failure = failure, .attemptsOfPart = static_cast<int>(part.attempts.size()), .urgency = query.kind->urgency, .timeLeft = query.timeLeft(now)};
     bool anyUsable = false;
     this->candidates(query, part, now, anyUsable);
     const bool allowed = anyUsable && this->mayExposeAnother(query, now);
--- a/lib/Kernel/QueryEngine.cpp
+++ b/lib/Kernel/QueryEngine.cpp
@@ -16,15 +16,15 @@
 static constexpr Duration MINIMUM_RETRY_AFTER = std::chrono::seconds(1);
 static constexpr int DURATION_AVERAGE_DIVISOR = 8;
 
-template<typename... Handlers>
+template <typename... Handlers>
 struct Visitor : Handlers...
 {
     using Handlers::operator()...;
 };
-template<typename... Handlers>
+template <typename... Handlers>
 Visitor(Handlers...) -> Visitor<Handlers...>;
 
-template<typename Policy>
+template <typename Policy>
 static void replacePolicy(std::unique_ptr<Policy> &policy, std::string &current, const std::string &wanted, std::string_view fallback)
 {
     if (policy && current == wanted) {
@@ -47,11 +47,7 @@
 }
 
 QueryEngine::QueryEngine(const Options &options)
-    : configuration(options.configuration)
-    , topology(options.topology)
-    , gate(options.gate)
-    , suspects(options.suspects)
-    , random(options.seed)
+    : configuration(options.configuration), topology(options.topology), gate(options.gate), suspects(options.suspects), random(options.seed)
 {
 }
 
--- a/lib/Kernel/ServerHealth.cpp
+++ b/lib/Kernel/ServerHealth.cpp
@@ -81,8 +81,7 @@
         server.cold.store(false, std::memory_order_release);
     }
     this->report(Reason::serverWarmer, query.request.id, server.identity.id);
-    this->actions.emplace_back(
-        AnnounceWarmUp{.serverId = server.identity.id, .incarnation = server.incarnation.load(), .level = level, .cold = !warm});
+    this->actions.emplace_back(AnnounceWarmUp{.serverId = server.identity.id, .incarnation = server.incarnation.load(), .level = level, .cold = !warm});
 }
 
 void QueryEngine::recordFailure(ActiveQuery &query, ServerRecord &server, SubFailure failure, Instant now)
--- a/lib/Kernel/SuspectList.cpp
+++ b/lib/Kernel/SuspectList.cpp
@@ -13,9 +13,8 @@
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
     if (!this->suspects.contains(fingerprint) && this->suspects.size() >= MAXIMUM_SUSPECTS) {
-        const auto first = std::min_element(this->suspects.begin(), this->suspects.end(), [](const auto &left, const auto &right) {
-            return left.second.expiry < right.second.expiry;
-        });
+        const auto first = std::min_element(
+            this->suspects.begin(), this->suspects.end(), [](const auto &left, const auto &right) { return left.second.expiry < right.second.expiry; });
         this->suspects.erase(first);
     }
     Suspect &suspect = this->suspects[fingerprint];
--- a/lib/Kernel/Topology.cpp
+++ b/lib/Kernel/Topology.cpp
@@ -29,9 +29,8 @@
         if (shard.range.end < range.end) {
             continue;
         }
-        std::copy_if(shard.replicas.begin(), shard.replicas.end(), std::back_inserter(holders), [&usable](const ServerPointer &server) {
-            return usable(*server);
-        });
+        std::copy_if(
+            shard.replicas.begin(), shard.replicas.end(), std::back_inserter(holders), [&usable](const ServerPointer &server) { return usable(*server); });
     }
     return holders;
 }
@@ -102,8 +101,7 @@
         for (const KeyRange &gap : plan.missing) {
             covered -= gap.width();
         }
-        const bool replicated
-            = std::all_of(plan.parts.begin(), plan.parts.end(), [](const PlannedPart &part) { return part.replicas.size() >= 2; });
+        const bool replicated = std::all_of(plan.parts.begin(), plan.parts.end(), [](const PlannedPart &part) { return part.replicas.size() >= 2; });
         const std::tuple<DocumentKey, bool> rank(covered, replicated);
         if (!best || rank > bestRank) {
             best = std::move(plan);
--- a/lib/Model/Questionnaire.cpp
+++ b/lib/Model/Questionnaire.cpp
@@ -31,8 +31,7 @@
 class Reader
 {
 public:
-    explicit Reader(Settings &source)
-        : settings(source)
+    explicit Reader(Settings &source) : settings(source)
     {
     }
 
@@ -89,8 +88,8 @@
         this->questionnaire.team.groups.push_back(group);
     }
 
-    std::string policy(const std::string &section, const std::string &key, const std::string &subject, const std::string &fallback,
-                       const std::vector<std::string> &choices)
+    std::string
+    policy(const std::string &section, const std::string &key, const std::string &subject, const std::string &fallback, const std::vector<std::string> &choices)
     {
         const std::string value = this->settings.text(section, key, {.fallback = fallback, .choices = choices});
         this->trace(section, key, subject + key, value);
@@ -123,9 +122,8 @@
             = this->settings.text(section, "if_index_changes", {.fallback = "start-again", .choices = {"start-again", "answer-with-what-is-there"}});
         kind.onSnapshotLoss = change == "start-again" ? SnapshotLoss::rerun : SnapshotLoss::partial;
         this->trace(section, "if_index_changes", subject + "on_snapshot_loss", change);
-        const std::string gone = this->settings.text(section,
-                                                     "when_a_failure_domain_is_gone",
-                                                     {.fallback = "answer-what-remains", .choices = {"answer-what-remains", "full-answer-or-none"}});
+        const std::string gone = this->settings.text(
+            section, "when_a_failure_domain_is_gone", {.fallback = "answer-what-remains", .choices = {"answer-what-remains", "full-answer-or-none"}});
         this->checkContradictions(section, kind, gone);
         this->explainSearch(kind, purpose, gone);
         this->questionnaire.team.kinds.push_back(kind);
@@ -191,7 +189,8 @@
         const std::string purpose = this->settings.text(section, "people_do", {.fallback = "(not said)"});
         kind.maximumDeadline = this->settings.duration(section, "answer_within", {.minimum = milliseconds(100), .maximum = minutes(10)});
         this->trace(section, "answer_within", subject + "maximum_deadline", std::to_string(toMs(kind.maximumDeadline)) + "ms");
-        this->questionnaire.explanation.push_back("Action '" + kind.name + "' (" + purpose + ") runs at most once for each Idempotency-Key, is never hedged and "
+        this->questionnaire.explanation.push_back("Action '" + kind.name + "' (" + purpose
+                                                  + ") runs at most once for each Idempotency-Key, is never hedged and "
                                                   + "never repeated; while the platform's store is out it is refused as not run.");
         this->questionnaire.team.kinds.push_back(kind);
     }
@@ -200,7 +199,8 @@
     {
         for (const BackendGroup &group : this->questionnaire.team.groups) {
             if (group.serversPerService == 1) {
-                this->questionnaire.warnings.push_back({"servers " + group.name + ": each service has one server; its loss leaves a part of the data unserved"});
+                this->questionnaire.warnings.push_back(
+                    {"servers " + group.name + ": each service has one server; its loss leaves a part of the data unserved"});
             } else if (group.coldCapacity > group.connections) {
                 this->questionnaire.warnings.push_back({"servers " + group.name + ": bears_when_cold exceeds connections; connections bound it"});
             }
--- a/lib/Operator/Commands.cpp
+++ b/lib/Operator/Commands.cpp
@@ -24,8 +24,7 @@
 class SessionBackend final : public DocumentBackend
 {
 public:
-    explicit SessionBackend(StoreSession &storeSession)
-        : session(storeSession)
+    explicit SessionBackend(StoreSession &storeSession) : session(storeSession)
     {
     }
 
--- a/lib/Operator/DocumentStore.cpp
+++ b/lib/Operator/DocumentStore.cpp
@@ -76,8 +76,7 @@
     return lines;
 }
 
-DocumentStore::DocumentStore(DocumentBackend &storeBackend)
-    : backend(storeBackend)
+DocumentStore::DocumentStore(DocumentBackend &storeBackend) : backend(storeBackend)
 {
 }
 
--- a/lib/Operator/StoreSession.cpp
+++ b/lib/Operator/StoreSession.cpp
@@ -12,8 +12,7 @@
 static constexpr Duration STORE_TIMEOUT = std::chrono::seconds(2);
 static constexpr int FETCH_TIMEOUT_MS = 2000;
 
-StoreSession::StoreSession(const std::string &platformAddress)
-    : platform({.address = platformAddress, .callTimeout = STORE_TIMEOUT})
+StoreSession::StoreSession(const std::string &platformAddress) : platform({.address = platformAddress, .callTimeout = STORE_TIMEOUT})
 {
     this->network.setProxy(QNetworkProxy::NoProxy);
 }
--- a/lib/Runtime/ControlPlane.cpp
+++ b/lib/Runtime/ControlPlane.cpp
@@ -56,7 +56,8 @@
 
 void ControlPlane::submit(ControlRequest request)
 {
-    QMetaObject::invokeMethod(this, [this, request = std::move(request)] { this->handle(request); }, Qt::QueuedConnection);
+    QMetaObject::invokeMethod(
+        this, [this, request = std::move(request)] { this->handle(request); }, Qt::QueuedConnection);
 }
 
 void ControlPlane::toWorkerOf(QueryId query, KernelEvent event)
@@ -103,11 +104,10 @@
     if (result != OfferResult::applied) {
         return;
     }
-    logEvent(LogLevel::info,
-             "configuration-applied",
-             {{.key = "document", .value = name},
-              {.key = "sequence", .value = std::to_string(this->keeper.sequences()[name])},
-              {.key = "source", .value = source}});
+    logEvent(
+        LogLevel::info,
+        "configuration-applied",
+        {{.key = "document", .value = name}, {.key = "sequence", .value = std::to_string(this->keeper.sequences()[name])}, {.key = "source", .value = source}});
     this->options.configuration.publish(this->keeper.current());
     this->directory.setConfiguration(this->keeper.current());
     this->rebuild();
@@ -236,7 +236,8 @@
             const Instant askedAt = steadyNow();
             worker->fetchStatus(address, STATUS_TIMEOUT, [this, askedAt](const Result<ServerStatus> &status) {
                 if (status) {
-                    QMetaObject::invokeMethod(this, [this, askedAt, known = *status] { this->onStatus(known, askedAt); }, Qt::QueuedConnection);
+                    QMetaObject::invokeMethod(
+                        this, [this, askedAt, known = *status] { this->onStatus(known, askedAt); }, Qt::QueuedConnection);
                 }
             });
         });
--- a/lib/Runtime/EntryProcess.cpp
+++ b/lib/Runtime/EntryProcess.cpp
@@ -66,19 +66,20 @@
 {
     std::vector<Worker *> pointers;
     for (int index = 0; index < this->settings.workers; ++index) {
-        this->workers.push_back(std::make_unique<Worker>(Worker::Options{.index = index,
-                                                                         .count = this->settings.workers,
-                                                                         .instance = this->settings.instance,
-                                                                         .callersAddress = this->settings.callersAddress,
-                                                                         .maximumBodyBytes = this->settings.maximumBodyBytes,
-                                                                         .maximumConnections = this->settings.maximumConnections,
-                                                                         .configuration = this->configuration,
-                                                                         .topology = this->topology,
-                                                                         .gate = this->gate,
-                                                                         .suspects = this->suspects,
-                                                                         .metrics = this->metrics,
-                                                                         .control = [this](ControlRequest request) { this->control.submit(std::move(request)); },
-                                                                         .seed = stableHash(this->settings.instance, static_cast<std::uint64_t>(wallClockMs()))}));
+        this->workers.push_back(
+            std::make_unique<Worker>(Worker::Options{.index = index,
+                                                     .count = this->settings.workers,
+                                                     .instance = this->settings.instance,
+                                                     .callersAddress = this->settings.callersAddress,
+                                                     .maximumBodyBytes = this->settings.maximumBodyBytes,
+                                                     .maximumConnections = this->settings.maximumConnections,
+                                                     .configuration = this->configuration,
+                                                     .topology = this->topology,
+                                                     .gate = this->gate,
+                                                     .suspects = this->suspects,
+                                                     .metrics = this->metrics,
+                                                     .control = [this](ControlRequest request) { this->control.submit(std::move(request)); },
+                                                     .seed = stableHash(this->settings.instance, static_cast<std::uint64_t>(wallClockMs()))}));
         pointers.push_back(this->workers.back().get());
     }
     for (const auto &worker : this->workers) {
--- a/lib/Runtime/ProgramMain.cpp
+++ b/lib/Runtime/ProgramMain.cpp
@@ -27,8 +27,7 @@
     return faults.empty();
 }
 
-SignalWatcher::SignalWatcher(std::function<void()> onSignal)
-    : callback(std::move(onSignal))
+SignalWatcher::SignalWatcher(std::function<void()> onSignal) : callback(std::move(onSignal))
 {
     sigset_t signals;
     sigemptyset(&signals);
--- a/lib/Runtime/Worker.cpp
+++ b/lib/Runtime/Worker.cpp
@@ -11,12 +11,12 @@
 
 namespace ragwort {
 
-template<typename... Handlers>
+template <typename... Handlers>
 struct Visitor : Handlers...
 {
     using Handlers::operator()...;
 };
-template<typename... Handlers>
+template <typename... Handlers>
 Visitor(Handlers...) -> Visitor<Handlers...>;
 
 Worker::Worker(Options workerOptions)
@@ -237,8 +237,7 @@
     const Duration elapsed = steadyNow() - query.arrival;
     this->latencyOf(query.team, query.kind).record(elapsed);
     this->options.metrics.counter("ragwort_answers_total", "reason=\"" + answer.reason + "\",success=\"" + (answer.success ? "true" : "false") + '"').add();
-    HttpResponse response
-        = encodeAnswer(answer, {.instance = this->options.instance, .repeatable = query.repeatable, .elapsed = elapsed});
+    HttpResponse response = encodeAnswer(answer, {.instance = this->options.instance, .repeatable = query.repeatable, .elapsed = elapsed});
     query.front->post([front = query.front, exchange = query.exchange, response = std::move(response)] {
         exchange->respond(response);
         front->openQueries.fetch_sub(1, std::memory_order_acq_rel);
--- a/lib/Support/Metrics.cpp
+++ b/lib/Support/Metrics.cpp
@@ -12,8 +12,7 @@
 static constexpr double LATENCY_MAXIMUM_US = 100'000'000.0;
 static constexpr Duration RECENT_PERIOD = std::chrono::seconds(10);
 
-LatencyHistogram::LatencyHistogram()
-    : bins(boost::histogram::make_histogram_with(Storage(), Axis(LATENCY_BINS, LATENCY_MINIMUM_US, LATENCY_MAXIMUM_US)))
+LatencyHistogram::LatencyHistogram() : bins(boost::histogram::make_histogram_with(Storage(), Axis(LATENCY_BINS, LATENCY_MINIMUM_US, LATENCY_MAXIMUM_US)))
 {
 }
 
--- a/lib/Support/Settings.cpp
+++ b/lib/Support/Settings.cpp
@@ -186,8 +186,8 @@
 
 Duration Settings::duration(const std::string &section, const std::string &key, const DurationRule &rule)
 {
-    const std::string allowed = "a duration with unit (us, ms, s, min, h) from " + std::to_string(rule.minimum.count()) + "us to "
-        + std::to_string(rule.maximum.count()) + "us";
+    const std::string allowed
+        = "a duration with unit (us, ms, s, min, h) from " + std::to_string(rule.minimum.count()) + "us to " + std::to_string(rule.maximum.count()) + "us";
     const std::optional<std::string> value = this->take(section, key, !rule.fallback, allowed);
     if (!value) {
         return rule.fallback.value_or(rule.minimum);
--- a/lib/Wire/BackendClient.cpp
+++ b/lib/Wire/BackendClient.cpp
@@ -68,9 +68,7 @@
 class BackendClient::Core : public std::enable_shared_from_this<BackendClient::Core>
 {
 public:
-    Core(EventLoop &eventLoop, const Options &clientOptions)
-        : loop(eventLoop)
-        , options(clientOptions)
+    Core(EventLoop &eventLoop, const Options &clientOptions) : loop(eventLoop), options(clientOptions)
     {
     }
 
@@ -102,10 +100,7 @@
 {
 public:
     Connection(BackendClient::Core &owner, ServerPool &serverPool)
-        : core(owner)
-        , pool(serverPool)
-        , socket(owner.loop.implementation().context)
-        , timer(owner.loop.implementation().context)
+        : core(owner), pool(serverPool), socket(owner.loop.implementation().context), timer(owner.loop.implementation().context)
     {
     }
 
@@ -334,10 +329,7 @@
 {
 public:
     StatusFetch(EventLoop &loop, std::string serverAddress, BackendClient::StatusCompletion whenDone)
-        : address(std::move(serverAddress))
-        , completion(std::move(whenDone))
-        , socket(loop.implementation().context)
-        , timer(loop.implementation().context)
+        : address(std::move(serverAddress)), completion(std::move(whenDone)), socket(loop.implementation().context), timer(loop.implementation().context)
     {
     }
 
@@ -547,8 +539,7 @@
     this->running.clear();
 }
 
-BackendClient::BackendClient(EventLoop &loop, const Options &options)
-    : core(std::make_shared<Core>(loop, options))
+BackendClient::BackendClient(EventLoop &loop, const Options &options) : core(std::make_shared<Core>(loop, options))
 {
 }
 
--- a/lib/Wire/BackendCodec.cpp
+++ b/lib/Wire/BackendCodec.cpp
@@ -163,9 +163,8 @@
     if (!object) {
         return object.error();
     }
-    ServerStatus status{.serverId = object->value("server").toString().toStdString(),
-                        .report = decodeReport(object->value("report").toObject()),
-                        .snapshots = {}};
+    ServerStatus status{
+        .serverId = object->value("server").toString().toStdString(), .report = decodeReport(object->value("report").toObject()), .snapshots = {}};
     for (const QJsonValue &value : object->value("snapshots").toArray()) {
         const QJsonObject held = value.toObject();
         status.snapshots.push_back({.id = unsignedOf(held, "id"),
--- a/lib/Wire/EventLoop.cpp
+++ b/lib/Wire/EventLoop.cpp
@@ -8,8 +8,7 @@
 
 namespace ragwort {
 
-EventLoop::EventLoop()
-    : loop(std::make_unique<AsioLoop>())
+EventLoop::EventLoop() : loop(std::make_unique<AsioLoop>())
 {
 }
 
@@ -42,8 +41,7 @@
 
 struct LoopTimer::State
 {
-    explicit State(boost::asio::io_context &context)
-        : timer(context)
+    explicit State(boost::asio::io_context &context) : timer(context)
     {
     }
 
@@ -52,8 +50,7 @@
     std::uint64_t generation = 0;
 };
 
-LoopTimer::LoopTimer(EventLoop &eventLoop)
-    : state(std::make_shared<State>(eventLoop.implementation().context))
+LoopTimer::LoopTimer(EventLoop &eventLoop) : state(std::make_shared<State>(eventLoop.implementation().context))
 {
 }
 
--- a/lib/Wire/HttpServer.cpp
+++ b/lib/Wire/HttpServer.cpp
@@ -41,10 +41,7 @@
 {
 public:
     Core(EventLoop &eventLoop, Options serverOptions, HttpHandler requestHandler)
-        : loop(eventLoop)
-        , options(std::move(serverOptions))
-        , handler(std::move(requestHandler))
-        , acceptor(eventLoop.implementation().context)
+        : loop(eventLoop), options(std::move(serverOptions)), handler(std::move(requestHandler)), acceptor(eventLoop.implementation().context)
     {
     }
 
@@ -268,12 +265,12 @@
         // Reads that are still pending must not run into the answer.
         ErrorCode ignored;
         this->socket.cancel(ignored);
-        this->write({.status = status,
-                     .contentType = "application/problem+json",
-                     .headers = {},
-                     .body = R"({"type":"about:blank","status":)" + std::to_string(status) + R"(,"title":"bad request","run":"not-run","detail":")" + detail
-                         + "\"}",
-                     .close = true});
+        this->write(
+            {.status = status,
+             .contentType = "application/problem+json",
+             .headers = {},
+             .body = R"({"type":"about:blank","status":)" + std::to_string(status) + R"(,"title":"bad request","run":"not-run","detail":")" + detail + "\"}",
+             .close = true});
     }
 
     void dispatchRequest();
@@ -380,9 +377,7 @@
 class SessionExchange final : public HttpExchange
 {
 public:
-    SessionExchange(std::shared_ptr<Session> owner, std::uint64_t exchangeNumber)
-        : session(std::move(owner))
-        , number(exchangeNumber)
+    SessionExchange(std::shared_ptr<Session> owner, std::uint64_t exchangeNumber) : session(std::move(owner)), number(exchangeNumber)
     {
     }
 
@@ -528,8 +523,7 @@
     }
 }
 
-HttpServer::HttpServer(EventLoop &loop, Options options, HttpHandler handler)
-    : core(std::make_shared<Core>(loop, std::move(options), std::move(handler)))
+HttpServer::HttpServer(EventLoop &loop, Options options, HttpHandler handler) : core(std::make_shared<Core>(loop, std::move(options), std::move(handler)))
 {
 }
 
--- a/lib/Wire/PlatformClient.cpp
+++ b/lib/Wire/PlatformClient.cpp
@@ -23,8 +23,7 @@
     return found == this->meta.end() ? std::string() : found->second;
 }
 
-PlatformClient::PlatformClient(Options clientOptions)
-    : options(std::move(clientOptions))
+PlatformClient::PlatformClient(Options clientOptions) : options(std::move(clientOptions))
 {
     this->watches.setProxy(QNetworkProxy::NoProxy);
     this->calling.setProxy(QNetworkProxy::NoProxy);
@@ -129,9 +128,7 @@
 class OneWayBuffer final : public QIODevice
 {
 public:
-    explicit OneWayBuffer(QByteArray content, QObject *parent)
-        : QIODevice(parent)
-        , data(std::move(content))
+    explicit OneWayBuffer(QByteArray content, QObject *parent) : QIODevice(parent), data(std::move(content))
     {
         this->open(QIODevice::ReadOnly);
     }
