--- a/include/ragwortcart/Control/ClaimBook.h
+++ b/include/ragwortcart/Control/ClaimBook.h
@@ -121,6 +121,9 @@
         std::string fingerprint;
         std::string outcome;
         Instant deadline{};
+        /// A claim held by another request is looked at again from then on: its outcome may be about to be recorded.
+        Instant notBefore{};
+        int timesHeld = 0;
         /// Part of the write that is under way or whose outcome is not known.
         bool inWrite = false;
         /// The engine has been told that the claim is not to be had; if it stands all the same it is released.
@@ -142,8 +145,9 @@
     void pump(int number, Instant now);
     void applyTo(int number, ClaimTable &claims, std::uint64_t index, Instant now, std::int64_t wallMs);
     /// Settles one operation against the content of its bucket; true when it needs a write.
-    bool settle(Operation &operation, ClaimTable &claims, std::int64_t wallMs, bool &done);
-    bool settleClaim(Operation &operation, ClaimTable &claims, std::int64_t wallMs, bool &done);
+    bool settle(Operation &operation, ClaimTable &claims, Instant now, std::int64_t wallMs, bool &done);
+    bool settleClaim(Operation &operation, ClaimTable &claims, Instant now, std::int64_t wallMs, bool &done);
+    void settleHeld(Operation &operation, Instant now, bool &done);
     void deliver(Operation &operation, ClaimVerdict verdict, const std::string &outcome = {});
     void grant(Operation &operation);
 
--- a/lib/Control/ClaimBook.cpp
+++ b/lib/Control/ClaimBook.cpp
@@ -12,6 +12,9 @@
 namespace ragwort {
 
 static constexpr Duration RETRY_INTERVAL = std::chrono::milliseconds(20);
+/// A claim held by another request is looked at this often before the caller is told so.
+static constexpr int HELD_LOOKS = 4;
+static constexpr Duration HELD_LOOK_INTERVAL = std::chrono::milliseconds(25);
 /// How long an outcome or a release is tried while the store does not answer.
 static constexpr Duration RECORD_TIME = std::chrono::minutes(10);
 
@@ -106,7 +109,9 @@
 {
     Bucket &bucket = this->buckets[number];
     const bool backingOff = bucket.retryAt && *bucket.retryAt > now;
-    if (bucket.step != BucketStep::idle || bucket.operations.empty() || backingOff) {
+    const bool anyDue
+        = std::any_of(bucket.operations.begin(), bucket.operations.end(), [now](const Operation &operation) { return operation.notBefore <= now; });
+    if (bucket.step != BucketStep::idle || !anyDue || backingOff) {
         return;
     }
     bucket.retryAt.reset();
@@ -138,7 +143,7 @@
     bool needsWrite = false;
     for (Operation &operation : bucket.operations) {
         bool done = false;
-        const bool writes = this->settle(operation, claims, wallMs, done);
+        const bool writes = this->settle(operation, claims, now, wallMs, done);
         operation.inWrite = writes;
         needsWrite = needsWrite || writes;
         if (!done) {
@@ -169,10 +174,10 @@
     this->actions.emplace_back(WriteBucket{.bucket = number, .value = std::move(value), .expectedIndex = index});
 }
 
-bool ClaimBook::settle(Operation &operation, ClaimTable &claims, std::int64_t wallMs, bool &done)
+bool ClaimBook::settle(Operation &operation, ClaimTable &claims, Instant now, std::int64_t wallMs, bool &done)
 {
     if (operation.kind == OperationKind::claim) {
-        return this->settleClaim(operation, claims, wallMs, done);
+        return this->settleClaim(operation, claims, now, wallMs, done);
     }
     const auto found = claims.find(operation.key);
     if (found == claims.end() || found->second.token != operation.token) {
@@ -192,7 +197,7 @@
     return true;
 }
 
-bool ClaimBook::settleClaim(Operation &operation, ClaimTable &claims, std::int64_t wallMs, bool &done)
+bool ClaimBook::settleClaim(Operation &operation, ClaimTable &claims, Instant now, std::int64_t wallMs, bool &done)
 {
     const auto found = claims.find(operation.key);
     if (found == claims.end()) {
@@ -223,11 +228,22 @@
     } else if (claim.ran) {
         this->deliver(operation, ClaimVerdict::alreadyRan, claim.outcome);
     } else {
-        this->deliver(operation, ClaimVerdict::heldElsewhere);
+        this->settleHeld(operation, now, done);
     }
     return false;
 }
 
+void ClaimBook::settleHeld(Operation &operation, Instant now, bool &done)
+{
+    const bool timeLeft = now + HELD_LOOK_INTERVAL < operation.deadline;
+    if (timeLeft && ++operation.timesHeld < HELD_LOOKS) {
+        operation.notBefore = now + HELD_LOOK_INTERVAL;
+        done = false;
+        return;
+    }
+    this->deliver(operation, ClaimVerdict::heldElsewhere);
+}
+
 void ClaimBook::grant(Operation &operation)
 {
     this->granted[operation.query] = {.key = operation.key, .token = operation.token};
@@ -317,6 +333,9 @@
             if (operation.kind == OperationKind::claim && !operation.abandoned) {
                 consider(operation.deadline);
             }
+            if (operation.notBefore > Instant{} && bucket.step == BucketStep::idle) {
+                consider(operation.notBefore);
+            }
         }
     }
     return earliest;
--- a/lib/Emulator/FakeServer.cpp
+++ b/lib/Emulator/FakeServer.cpp
@@ -40,8 +40,7 @@
                                       .maximumConnections = static_cast<std::size_t>(this->group.connections),
                                       .maximumConnectionsPerAddress = static_cast<std::size_t>(this->group.connections)};
     return std::make_unique<HttpServer>(
-        this->loop, options, [this](const HttpRequest &request, std::shared_ptr<HttpExchange> exchange) {
-        this->handle(request, std::move(exchange)); });
+        this->loop, options, [this](const HttpRequest &request, std::shared_ptr<HttpExchange> exchange) { this->handle(request, std::move(exchange)); });
 }
 
 Result<std::uint16_t> FakeServer::start()
--- a/lib/Kernel/AttemptSteps.cpp
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -288,7 +288,8 @@
         this->applyReport(*server, *event.report);
     }
     this->recordFailure(*query, *server, event.failure, now);
-    if (query->canaryPending && provesNotRun(event.failure)) {
+    const bool serverUnharmed = provesNotRun(event.failure) || event.failure == SubFailure::closed;
+    if (query->canaryPending && serverUnharmed) {
         --query->canaryExposure;
     }
     part.snapshotGone = event.failure == SubFailure::snapshotGone;
--- a/lib/Operator/DocumentStore.cpp
+++ b/lib/Operator/DocumentStore.cpp
@@ -79,9 +79,7 @@
     return lines;
 }
 
-DocumentStore::DocumentStore(DocumentBackend &storeBackend, std::string writerName)
-    : backend(storeBackend)
-    , writer(std::move(writerName))
+DocumentStore::DocumentStore(DocumentBackend &storeBackend, std::string writerName) : backend(storeBackend), writer(std::move(writerName))
 {
 }
 
--- /dev/null
+++ b/test/hostile_callers.py
@@ -0,0 +1,98 @@
+"""Callers that hang up, send nonsense, or send half a request leave every entry running and every count right."""
+
+import json
+import random
+import socket
+import struct
+import threading
+import time
+
+import check
+
+HANG_UPS = 300
+MALFORMED = 1000
+SEED = 7
+
+
+def connect(entry):
+    host, port = entry["callers"].rsplit(":", 1)
+    return socket.create_connection((host, int(port)), timeout=5)
+
+
+def request_text(kind="roster", body='{"query":"storm"}', headers=""):
+    return (
+        f"POST /v1/teams/turnos/search/{kind} HTTP/1.1\r\nHost: x\r\nRagwort-Deadline-Ms: 900\r\n{headers}Content-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
+def hang_up_storm(fleet, rng):
+    """Sends whole requests and resets the connection at a random moment, from several threads."""
+
+    def work(part):
+        for number in part:
+            connection = connect(fleet.entries[number % len(fleet.entries)])
+            connection.sendall(request_text(body=json.dumps({"query": f"storm {number}"})))
+            time.sleep(delays[number])
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            connection.close()
+
+    delays = [rng.choice([0, 0.001, 0.005, 0.02]) for _ in range(HANG_UPS)]
+    threads = [threading.Thread(target=work, args=(range(first, HANG_UPS, 10),)) for first in range(10)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def malformed_requests(rng):
+    """Damaged variants of a sound request, no two alike in where they are damaged."""
+    sound = request_text()
+    for number in range(MALFORMED):
+        kind = number % 5
+        if kind == 0:
+            position = rng.randrange(len(sound))
+            yield sound[:position] + bytes([rng.randrange(256)]) + sound[position + 1 :]
+        elif kind == 1:
+            yield sound[: rng.randrange(len(sound))]
+        elif kind == 2:
+            yield bytes(rng.randrange(256) for _ in range(rng.randrange(1, 400)))
+        elif kind == 3:
+            yield request_text(headers="Transfer-Encoding: chunked\r\n")
+        else:
+            yield request_text(body="{" * rng.randrange(1, 200))
+
+
+def send_malformed(fleet, rng):
+    """Sends each on a connection of its own; returns the number that were answered."""
+    answered = 0
+    for number, text in enumerate(malformed_requests(rng)):
+        connection = connect(fleet.entries[number % len(fleet.entries)])
+        connection.sendall(text)
+        connection.shutdown(socket.SHUT_WR)
+        try:
+            answered += 1 if connection.recv(4096) else 0
+        except OSError:
+            pass
+        connection.close()
+    return answered
+
+
+def body(fleet, verdict):
+    rng = random.Random(SEED)
+    hang_up_storm(fleet, rng)
+    answered = send_malformed(fleet, rng)
+    print(f"{answered} of {MALFORMED} malformed requests were answered")
+    time.sleep(1.5)
+    verdict.expect(all(process.poll() is None for process in fleet.processes.values()), "every process is running")
+    for entry in fleet.entries:
+        state = fleet.state(entry)
+        workers = state["workers"]
+        verdict.expect(sum(worker["active_queries"] + worker["waiting_queries"] for worker in workers) == 0, f"{entry['id']} has no query left over")
+        verdict.expect(all(server["in_flight"] == 0 for server in state["servers"].values()), f"{entry['id']} holds no permit")
+        verdict.expect(sum(worker["caller_connections"] for worker in workers) == 0, f"{entry['id']} has no connection left over")
+        status, _, answer = fleet.search(entry, "roster", "after the storm")
+        verdict.expect(status == 200 and answer["coverage"]["fraction"] == 1.0, f"{entry['id']} answers in full")
+
+
+if __name__ == "__main__":
+    check.run(body, port_shift=1000)
--- a/unittests/Control/ClaimBookTest.cpp
+++ b/unittests/Control/ClaimBookTest.cpp
@@ -15,9 +15,7 @@
 class BookOnStore
 {
 public:
-    BookOnStore(FakeStore &sharedStore, const std::string &name)
-        : store(sharedStore)
-        , book(name)
+    BookOnStore(FakeStore &sharedStore, const std::string &name) : store(sharedStore), book(name)
     {
     }
 
@@ -36,6 +34,16 @@
         }
     }
 
+    /// Runs until the book is idle, letting time pass where it waits.
+    void settle()
+    {
+        for (int step = 0; step < 20 && !this->book.idle(); ++step) {
+            this->run();
+            this->pass(std::chrono::milliseconds(10));
+        }
+        this->run();
+    }
+
     void pass(Duration time)
     {
         this->now += time;
@@ -101,7 +109,7 @@
     first.claim(1, "key");
     first.run();
     second.claim(2, "key");
-    second.run();
+    second.settle();
     EXPECT_EQ(first.verdict(1), ClaimVerdict::granted);
     EXPECT_EQ(second.verdict(2), ClaimVerdict::heldElsewhere);
 }
@@ -121,6 +129,22 @@
     EXPECT_EQ(second.verdicts.at(2).recordedOutcome, "done");
 }
 
+TEST(ClaimBookTest, anOutcomeThatIsAboutToBeRecordedIsWaitedFor)
+{
+    FakeStore store;
+    BookOnStore first(store, "a");
+    BookOnStore second(store, "b");
+    first.claim(1, "key");
+    first.run();
+    second.claim(2, "key");
+    second.run();
+    EXPECT_TRUE(second.verdicts.empty());
+    first.book.recordOutcome({.query = 1, .state = RunState::ran, .outcome = "done"}, first.now, WALL_MS);
+    first.run();
+    second.settle();
+    EXPECT_EQ(second.verdict(2), ClaimVerdict::alreadyRan);
+}
+
 TEST(ClaimBookTest, aReleasedKeyCanBeClaimedAgain)
 {
     FakeStore store;
@@ -143,7 +167,7 @@
     first.book.recordOutcome({.query = 1, .state = RunState::outcomeUnknown, .outcome = {}}, first.now, WALL_MS);
     first.run();
     first.claim(2, "key");
-    first.run();
+    first.settle();
     EXPECT_EQ(first.verdict(2), ClaimVerdict::heldElsewhere);
 }
 
@@ -181,8 +205,8 @@
     auto actions = first.book.takeActions();
     ASSERT_EQ(actions.size(), 1U);
     first.perform(actions[0], WriteFault::none); // The read sees nothing yet.
-    EXPECT_TRUE(first.late());                   // Now the first write takes effect.
-    first.run();                                 // The second write conflicts and is settled.
+    EXPECT_TRUE(first.late()); // Now the first write takes effect.
+    first.run(); // The second write conflicts and is settled.
     EXPECT_EQ(first.verdict(1), ClaimVerdict::granted);
 }
 
--- a/unittests/Control/ServerDirectoryTest.cpp
+++ b/unittests/Control/ServerDirectoryTest.cpp
@@ -28,8 +28,7 @@
 class ServerDirectoryTest : public ::testing::Test
 {
 protected:
-    ServerDirectoryTest()
-        : directory("entry-0", "a")
+    ServerDirectoryTest() : directory("entry-0", "a")
     {
         this->directory.setConfiguration(configuration());
         this->directory.setServers({server("s0", "a"), server("s1", "b")});
--- a/unittests/Kernel/AdmissionQueueTest.cpp
+++ b/unittests/Kernel/AdmissionQueueTest.cpp
@@ -74,11 +74,9 @@
 {
     AdmissionQueue queue;
     QueryId id = 0;
-    while (queue.push(waiting(++id, "a", Urgency::batch))) {
-    }
+    while (queue.push(waiting(++id, "a", Urgency::batch))) { }
     EXPECT_TRUE(queue.push(waiting(++id, "a", Urgency::ordinary)));
-    while (queue.push(waiting(++id, "a", Urgency::ordinary))) {
-    }
+    while (queue.push(waiting(++id, "a", Urgency::ordinary))) { }
     EXPECT_TRUE(queue.push(waiting(++id, "a", Urgency::urgent)));
 }
 
--- a/unittests/Kernel/EngineHarness.h
+++ b/unittests/Kernel/EngineHarness.h
@@ -101,10 +101,11 @@
         return *std::find_if(this->servers.begin(), this->servers.end(), [&id](const ServerPointer &candidate) { return candidate->identity.id == id; });
     }
 
-    QueryId ask(const std::string &kind = "search", Duration timeLeft = std::chrono::milliseconds(300), const std::string &text = "text",
-                const std::string &team = "t")
+    QueryId
+    ask(const std::string &kind = "search", Duration timeLeft = std::chrono::milliseconds(300), const std::string &text = "text", const std::string &team = "t")
     {
-        QueryRequest request{.id = ++this->lastQuery, .team = team, .kind = kind, .text = text, .limit = 10, .arrival = this->now, .deadline = this->now + timeLeft};
+        QueryRequest request{
+            .id = ++this->lastQuery, .team = team, .kind = kind, .text = text, .limit = 10, .arrival = this->now, .deadline = this->now + timeLeft};
         request.idempotencyKey = kind == "action" ? "key-" + std::to_string(request.id) : "";
         request.fingerprint = std::hash<std::string>()(text);
         this->handle(QueryArrived{.request = request});
@@ -175,7 +176,7 @@
         return std::find(this->reasons.begin(), this->reasons.end(), reason) != this->reasons.end();
     }
 
-    template<typename Action>
+    template <typename Action>
     std::vector<Action> othersOf() const
     {
         std::vector<Action> found;
--- a/unittests/Kernel/QueryEngineTest.cpp
+++ b/unittests/Kernel/QueryEngineTest.cpp
@@ -470,6 +470,23 @@
     EXPECT_TRUE(this->harness.replies[0].success);
 }
 
+TEST_F(CanaryTest, serversThatOnlyCloseConnectionsDoNotEndTheQuery)
+{
+    this->harness.ask();
+    for (int round = 0; round < 2; ++round) {
+        const auto sends = this->harness.takeSends();
+        ASSERT_EQ(sends.size(), 1U) << "round " << round;
+        this->harness.fail(sends[0], SubFailure::closed);
+    }
+    for (auto sends = this->harness.takeSends(); !sends.empty(); sends = this->harness.takeSends()) {
+        for (const SubRequest &send : sends) {
+            this->harness.answer(send);
+        }
+    }
+    ASSERT_EQ(this->harness.replies.size(), 1U);
+    EXPECT_GT(this->harness.replies[0].coverage.fraction(), 0.0);
+}
+
 TEST_F(CanaryTest, aHedgedCanaryDoesNotExposeAThirdServer)
 {
     for (int round = 0; round < 60; ++round) {
--- a/unittests/Model/KeyRangeTest.cpp
+++ b/unittests/Model/KeyRangeTest.cpp
@@ -31,8 +31,7 @@
 {
     const bool holds = rc::check("range set equals a set of keys", [] {
         static constexpr DocumentKey END = 64;
-        const auto pairs = *rc::gen::container<std::vector<std::pair<unsigned, unsigned>>>(
-            rc::gen::pair(rc::gen::inRange(0U, 64U), rc::gen::inRange(0U, 65U)));
+        const auto pairs = *rc::gen::container<std::vector<std::pair<unsigned, unsigned>>>(rc::gen::pair(rc::gen::inRange(0U, 64U), rc::gen::inRange(0U, 65U)));
         RangeSet set;
         std::vector<bool> model(END, false);
         for (const auto &[begin, end] : pairs) {
--- a/unittests/Operator/DocumentStoreTest.cpp
+++ b/unittests/Operator/DocumentStoreTest.cpp
@@ -1,5 +1,5 @@
-#include "ragwortcart/Emulator/FakeStore.h"
 #include "ragwortcart/Operator/DocumentStore.h"
+#include "ragwortcart/Emulator/FakeStore.h"
 
 #include <QJsonDocument>
 #include <deque>
--- a/unittests/Wire/BackendClientTest.cpp
+++ b/unittests/Wire/BackendClientTest.cpp
@@ -1,5 +1,5 @@
-#include "LoopThread.h"
 #include "ragwortcart/Wire/BackendClient.h"
+#include "LoopThread.h"
 #include "ragwortcart/Wire/HttpServer.h"
 
 #include <gtest/gtest.h>
@@ -32,9 +32,10 @@
 
     void startServer(const std::string &address)
     {
-        this->server = std::make_unique<HttpServer>(this->thread.loop,
-                                                    HttpServer::Options{.address = address},
-                                                    [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { this->serve(request, exchange); });
+        this->server = std::make_unique<HttpServer>(
+            this->thread.loop, HttpServer::Options{.address = address}, [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
+                this->serve(request, exchange);
+            });
         const Result<std::uint16_t> port = this->server->listen();
         ASSERT_TRUE(port);
         this->address = "127.0.0.1:" + std::to_string(*port);
@@ -57,7 +58,8 @@
             ++this->incarnation;
             exchange->drop();
         } else if (decoded->text == "shed") {
-            exchange->respond({.status = 503, .headers = {}, .body = encodeBackendRefusal({.failure = SubFailure::shed, .report = {.incarnation = 1, .load = 9}})});
+            exchange->respond(
+                {.status = 503, .headers = {}, .body = encodeBackendRefusal({.failure = SubFailure::shed, .report = {.incarnation = 1, .load = 9}})});
         } else if (decoded->text == "nonsense") {
             exchange->respond({.status = 200, .headers = {}, .body = "hello"});
         } else if (decoded->text == "crossed") {
@@ -208,8 +210,9 @@
 TEST_F(BackendClientTest, fetchesTheStatus)
 {
     std::promise<Result<ServerStatus>> promise;
-    this->thread.loop.post(
-        [&] { this->client->fetchStatus(this->address, std::chrono::seconds(5), [&promise](Result<ServerStatus> status) { promise.set_value(std::move(status)); }); });
+    this->thread.loop.post([&] {
+        this->client->fetchStatus(this->address, std::chrono::seconds(5), [&promise](Result<ServerStatus> status) { promise.set_value(std::move(status)); });
+    });
     const Result<ServerStatus> status = promise.get_future().get();
     ASSERT_TRUE(status);
     EXPECT_EQ(status->serverId, "s");
--- a/unittests/Wire/CallerCodecTest.cpp
+++ b/unittests/Wire/CallerCodecTest.cpp
@@ -85,7 +85,8 @@
 TEST_F(CallerCodecTest, equalContentHasAnEqualFingerprint)
 {
     const auto first = std::get<QueryRequest>(decodeCallerRequest(request("/v1/teams/t/search/s"), this->configuration, Instant{}));
-    const auto resend = std::get<QueryRequest>(decodeCallerRequest(request("/v1/teams/t/search/s", "{\"query\":\"x\"}", "500"), this->configuration, Instant{}));
+    const auto resend
+        = std::get<QueryRequest>(decodeCallerRequest(request("/v1/teams/t/search/s", "{\"query\":\"x\"}", "500"), this->configuration, Instant{}));
     const auto other = std::get<QueryRequest>(decodeCallerRequest(request("/v1/teams/t/search/s", "{\"query\":\"y\"}"), this->configuration, Instant{}));
     EXPECT_EQ(first.fingerprint, resend.fingerprint);
     EXPECT_NE(first.fingerprint, other.fingerprint);
--- a/unittests/Wire/HttpServerTest.cpp
+++ b/unittests/Wire/HttpServerTest.cpp
@@ -1,5 +1,5 @@
-#include "LoopThread.h"
 #include "ragwortcart/Wire/HttpServer.h"
+#include "LoopThread.h"
 
 #include <gtest/gtest.h>
 #include <memory>
@@ -110,8 +110,9 @@
     this->start({.maximumHeaderBytes = 1024, .maximumBodyBytes = 100});
     EXPECT_NE(this->exchange("GET / HTTP/1.1\r\nHost: x\r\nA: " + std::string(100'000, 'a') + "\r\n\r\n").find(" 431 "), std::string::npos);
     EXPECT_NE(this->exchange("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000000\r\n\r\n").find(" 413 "), std::string::npos);
-    EXPECT_NE(this->exchange("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n" + std::string(4096, 'b') + "\r\n0\r\n\r\n").find(" 413 "),
-              std::string::npos);
+    EXPECT_NE(
+        this->exchange("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n" + std::string(4096, 'b') + "\r\n0\r\n\r\n").find(" 413 "),
+        std::string::npos);
 }
 
 TEST_F(HttpServerTest, aHalfSentRequestEndsWithATimeout)
--- a/unittests/Wire/LoopThread.h
+++ b/unittests/Wire/LoopThread.h
@@ -19,8 +19,7 @@
 class LoopThread
 {
 public:
-    LoopThread()
-        : thread([this] { this->loop.run(); })
+    LoopThread() : thread([this] { this->loop.run(); })
     {
     }
     ~LoopThread()
@@ -30,7 +29,7 @@
     }
 
     /// Runs \p task on the loop's thread and waits for its result.
-    template<typename Task>
+    template <typename Task>
     auto call(Task task)
     {
         using Value = decltype(task());
@@ -56,8 +55,7 @@
 class RawSocket
 {
 public:
-    explicit RawSocket(std::uint16_t port)
-        : descriptor(::socket(AF_INET, SOCK_STREAM, 0))
+    explicit RawSocket(std::uint16_t port) : descriptor(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address{};
         address.sin_family = AF_INET;
@@ -127,7 +125,7 @@
 };
 
 /// Waits until \p condition holds; false when it does not within the time.
-template<typename Condition>
+template <typename Condition>
 bool eventually(Condition condition, std::chrono::seconds time = std::chrono::seconds(20))
 {
     const auto end = std::chrono::steady_clock::now() + time;
--- a/unittests/Wire/PlatformClientTest.cpp
+++ b/unittests/Wire/PlatformClientTest.cpp
@@ -1,6 +1,6 @@
+#include "ragwortcart/Wire/PlatformClient.h"
 #include "LoopThread.h"
 #include "ragwortcart/Emulator/FakePlatform.h"
-#include "ragwortcart/Wire/PlatformClient.h"
 
 #include <QCoreApplication>
 #include <QEventLoop>
