Peer links: configuration, statuses, accusations and warm-ups spread between instances

Cause: every instance polled every server and watched the store itself. A test of two sides that open a link at once failed (each kept the link that the other had dropped, for ever); both now keep the one opened by the lower name.

--- /dev/null
+++ b/include/ragwortcart/Control/PeerMessages.h
@@ -0,0 +1,75 @@
+/// \file
+/// What entry instances tell one another.
+#ifndef RAGWORTCART_CONTROL_PEERMESSAGES_H
+#define RAGWORTCART_CONTROL_PEERMESSAGES_H
+
+#include "ragwortcart/Control/ConfigurationKeeper.h"
+#include "ragwortcart/Kernel/SuspectList.h"
+#include "ragwortcart/Model/ServerStatus.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ragwort {
+
+/// The first message on a link, from both sides.
+struct PeerHello
+{
+    std::string instance;
+    std::string domain;
+};
+
+/// Sent at a fixed interval: which documents are in force and how old that knowledge is at most.
+struct PeerDigest
+{
+    /// Microseconds; negative when the instance has never known a current configuration.
+    std::int64_t configurationAgeUs = -1;
+    DocumentSequences sequences;
+};
+
+/// Documents that the other side lacks, or that have just come into force.
+struct PeerDocuments
+{
+    std::vector<ConfigurationDocument> documents;
+};
+
+struct PeerStatus
+{
+    ServerStatus status;
+    /// How long ago it was observed, as clocks are not shared.
+    std::int64_t ageUs = 0;
+};
+
+struct PeerStatuses
+{
+    std::vector<PeerStatus> statuses;
+};
+
+/// An accusation that the receiver acknowledges with the same number.
+struct PeerAccusation
+{
+    std::uint64_t number = 0;
+    Accusation accusation;
+};
+
+struct PeerAccusationAck
+{
+    std::uint64_t number = 0;
+};
+
+/// The level of a server's warm-up, set by its owner.
+struct PeerWarmUp
+{
+    std::string serverId;
+    std::uint64_t incarnation = 0;
+    int level = 0;
+    bool cold = false;
+};
+
+using PeerMessage = std::variant<PeerHello, PeerDigest, PeerDocuments, PeerStatuses, PeerAccusation, PeerAccusationAck, PeerWarmUp>;
+
+} // namespace ragwort
+
+#endif
--- a/include/ragwortcart/Runtime/ControlPlane.h
+++ b/include/ragwortcart/Runtime/ControlPlane.h
@@ -7,9 +7,11 @@
 #include "ragwortcart/Control/ClaimBook.h"
 #include "ragwortcart/Control/ConfigurationKeeper.h"
 #include "ragwortcart/Control/Freshness.h"
+#include "ragwortcart/Control/PeerExchange.h"
 #include "ragwortcart/Control/SeatKeeper.h"
 #include "ragwortcart/Control/ServerDirectory.h"
 #include "ragwortcart/Runtime/Worker.h"
+#include "ragwortcart/Wire/PeerLinks.h"
 #include "ragwortcart/Wire/PlatformClient.h"
 
 #include <QJsonObject>
@@ -37,6 +39,7 @@
         std::string instance;
         std::string domain;
         std::string platformAddress;
+        std::string peersAddress;
         Published<Configuration> &configuration;
         Published<Topology> &topology;
         SuspectList &suspects;
@@ -46,7 +49,14 @@
     explicit ControlPlane(const Options &options);
 
     void setWorkers(const std::vector<Worker *> &all);
-    void start();
+    /// Listens for peers and begins to follow the platform.
+    Result<bool> start();
+
+    /// Ends the peer links.
+    void stop()
+    {
+        this->links.stop();
+    }
 
     /// Takes a worker's request over into the control thread. Any thread.
     void submit(ControlRequest request);
@@ -74,8 +84,13 @@
     void onServers(const PlatformInstances &listed);
     void onEntries(const PlatformInstances &listed);
     void readSeats();
+    void readSeatsThen(const std::function<void()> &next);
+    void onSeats(const KeyValues &values);
+    void releaseSeat(int triesLeft, const std::function<void()> &done);
     void tryTakeSeat();
+    bool followsStore() const;
     void pollServers();
+    void pollServer(const ServerRecord &record);
     void onStatus(const ServerStatus &status, Instant observedAt);
     void offer(const std::string &name, const QByteArray &json, const std::string &source);
     void rebuild();
@@ -87,6 +102,12 @@
     void readBucket(int bucket);
     void writeBucket(const WriteBucket &write);
     void accuse(const AccuseContent &accusation);
+    void announce(const AnnounceWarmUp &warmUp);
+    PeerLinks::Handlers makeLinkHandlers();
+    void onLink(const std::string &peer, bool up);
+    void onPeerBytes(const std::string &peer, const std::string &bytes);
+    void performPeerActions();
+    void updateWantedLinks();
     void toWorkerOf(QueryId query, KernelEvent event);
 
     Options options;
@@ -96,6 +117,8 @@
     SeatKeeper seats;
     ClaimBook claims;
     Freshness freshness;
+    PeerExchange exchange;
+    PeerLinks links;
     std::vector<Worker *> workers;
     QTimer ticker;
     QTimer claimTimer;
@@ -105,6 +128,7 @@
     bool rebuildScheduled = false;
     Instant nextPoll{};
     std::uint64_t tickCount = 0;
+    std::uint64_t pollCount = 0;
     std::atomic<bool> isReady{false};
 };
 
--- /dev/null
+++ b/lib/Control/PeerExchange.cpp
@@ -0,0 +1,291 @@
+/// \file
+/// Gossip between entry instances.
+#include "ragwortcart/Control/PeerExchange.h"
+
+#include "ragwortcart/Support/Hash.h"
+
+#include <algorithm>
+
+namespace ragwort {
+
+/// Up to this many instances, everybody is linked to everybody.
+static constexpr std::size_t FULL_MESH_LIMIT = 12;
+static constexpr std::size_t LOCAL_LINKS = 4;
+static constexpr std::size_t REMOTE_LINKS = 2;
+static constexpr std::size_t WATCHERS_PER_DOMAIN = 2;
+
+PeerExchange::PeerExchange(const Options &exchangeOptions) : options(exchangeOptions)
+{
+}
+
+std::vector<PeerAction> PeerExchange::takeActions()
+{
+    return std::exchange(this->actions, {});
+}
+
+void PeerExchange::send(const std::string &peer, PeerMessage message)
+{
+    this->actions.emplace_back(SendToPeer{.peer = peer, .message = std::move(message)});
+}
+
+void PeerExchange::sendToAll(const PeerMessage &message, const std::string &except)
+{
+    for (const std::string &peer : this->peers) {
+        if (peer != except) {
+            this->send(peer, message);
+        }
+    }
+}
+
+PeerDigest PeerExchange::makeDigest(Instant now) const
+{
+    const Duration age = this->options.freshness.age(now);
+    return {.configurationAgeUs = age == Duration::max() ? -1 : age.count(), .sequences = this->options.keeper.sequences()};
+}
+
+void PeerExchange::onLinkUp(const std::string &peer, Instant now)
+{
+    this->peers.insert(peer);
+    this->send(peer, PeerHello{.instance = this->options.instance, .domain = this->options.domain});
+    this->send(peer, this->makeDigest(now));
+    PeerStatuses statuses;
+    for (const auto &[id, observed] : this->options.directory.statuses()) {
+        statuses.statuses.push_back({.status = observed.status, .ageUs = (now - observed.observedAt).count()});
+    }
+    if (!statuses.statuses.empty()) {
+        this->send(peer, statuses);
+    }
+    for (const Accusation &accusation : this->options.suspects.all(now)) {
+        this->send(peer, PeerAccusation{.number = 0, .accusation = accusation});
+    }
+}
+
+void PeerExchange::onLinkDown(const std::string &peer)
+{
+    this->peers.erase(peer);
+    for (auto &[number, open] : this->accusations) {
+        open.unconfirmed.erase(peer);
+    }
+}
+
+void PeerExchange::onMessage(const std::string &peer, const PeerMessage &message, Instant now)
+{
+    std::visit([&](const auto &typed) { this->handle(peer, typed, now); }, message);
+}
+
+void PeerExchange::handle(const std::string &peer, const PeerHello &hello, Instant now)
+{
+    (void)now;
+    this->domainOf[peer] = hello.domain;
+}
+
+void PeerExchange::handle(const std::string &peer, const PeerDigest &digest, Instant now)
+{
+    const auto domain = this->domainOf.find(peer);
+    if (domain != this->domainOf.end()) {
+        // A peer's knowledge is current for us only if we hold all that it holds.
+        const bool behind = this->options.keeper.lacksAny(digest.sequences);
+        const bool known = digest.configurationAgeUs >= 0 && !behind;
+        this->options.freshness.notePeer(domain->second, known ? Duration(digest.configurationAgeUs) : Duration::max(), now);
+    }
+    const std::vector<ConfigurationDocument> newer = this->options.keeper.newerThan(digest.sequences);
+    if (!newer.empty()) {
+        this->send(peer, PeerDocuments{.documents = newer});
+    }
+}
+
+void PeerExchange::handle(const std::string &peer, const PeerDocuments &documents, Instant now)
+{
+    (void)now;
+    for (const ConfigurationDocument &document : documents.documents) {
+        this->actions.emplace_back(OfferDocument{.document = document, .peer = peer});
+    }
+}
+
+void PeerExchange::handle(const std::string &peer, const PeerStatuses &statuses, Instant now)
+{
+    PeerStatuses news;
+    for (const PeerStatus &told : statuses.statuses) {
+        if (this->options.directory.noteStatus(told.status, now - Duration(std::max<std::int64_t>(told.ageUs, 0)))) {
+            news.statuses.push_back(told);
+        }
+    }
+    if (news.statuses.empty()) {
+        return;
+    }
+    // What was news here may be news to peers that have no link to the sender; it stops where it is known.
+    this->actions.emplace_back(TopologyChanged{});
+    this->sendToAll(news, peer);
+}
+
+void PeerExchange::handle(const std::string &peer, const PeerAccusation &told, Instant now)
+{
+    const Accusation &accusation = told.accusation;
+    const int before = this->options.suspects.accusedServers(accusation.fingerprint, now);
+    const int after = this->options.suspects.accuse(accusation.fingerprint, accusation.serverId, now, accusation.remaining);
+    if (told.number != 0) {
+        this->send(peer, PeerAccusationAck{.number = told.number});
+    }
+    if (after != before) {
+        this->sendToAll(PeerAccusation{.number = 0, .accusation = accusation}, peer);
+    }
+}
+
+void PeerExchange::handle(const std::string &peer, const PeerAccusationAck &ack, Instant now)
+{
+    const auto found = this->accusations.find(ack.number);
+    if (found != this->accusations.end()) {
+        found->second.unconfirmed.erase(peer);
+        this->settleAccusations(now);
+    }
+}
+
+void PeerExchange::handle(const std::string &peer, const PeerWarmUp &warmUp, Instant now)
+{
+    (void)now;
+    const std::shared_ptr<ServerRecord> server = this->options.directory.findServer(warmUp.serverId);
+    if (!server) {
+        return;
+    }
+    const std::uint64_t known = server->incarnation.load();
+    const bool newIncarnation = warmUp.incarnation != known;
+    if (newIncarnation && known != 0 && !warmUp.cold) {
+        // News of an incarnation that is not the present one; the present one's own level will come.
+        return;
+    }
+    const bool foundCold = warmUp.cold && warmUp.level == 0;
+    const bool raised = !newIncarnation && warmUp.level > server->warmUpLevel.load();
+    const bool reset = foundCold && (newIncarnation || !server->cold.load());
+    if (!raised && !reset) {
+        return;
+    }
+    server->incarnation.store(warmUp.incarnation);
+    server->warmUpLevel.store(warmUp.level);
+    server->cold.store(warmUp.cold, std::memory_order_release);
+    this->actions.emplace_back(TopologyChanged{});
+    this->announceWarmUp(warmUp, peer);
+}
+
+void PeerExchange::announceWarmUp(const PeerWarmUp &warmUp, const std::string &exceptPeer)
+{
+    this->sendToAll(warmUp, exceptPeer);
+}
+
+void PeerExchange::onDocumentApplied(const ConfigurationDocument &document, const std::string &source)
+{
+    this->sendToAll(PeerDocuments{.documents = {document}}, source);
+}
+
+void PeerExchange::onOwnStatus(const ServerStatus &status, Instant observedAt, bool changed)
+{
+    this->ownStatuses[status.serverId] = {.status = status, .observedAt = observedAt};
+    if (changed) {
+        this->changedStatuses.insert(status.serverId);
+    }
+}
+
+void PeerExchange::sendOwnStatuses(Instant now)
+{
+    const bool refresh = now >= this->nextRefresh;
+    PeerStatuses statuses;
+    for (const auto &[id, observed] : this->ownStatuses) {
+        if (refresh || this->changedStatuses.contains(id)) {
+            statuses.statuses.push_back({.status = observed.status, .ageUs = (now - observed.observedAt).count()});
+        }
+    }
+    this->changedStatuses.clear();
+    if (refresh) {
+        this->nextRefresh = now + PEER_STATUS_REFRESH;
+        // What is no longer polled here is told by its new poller.
+        std::erase_if(this->ownStatuses, [now](const auto &entry) { return now - entry.second.observedAt > PEER_STATUS_REFRESH; });
+    }
+    if (!statuses.statuses.empty()) {
+        this->sendToAll(statuses);
+    }
+}
+
+void PeerExchange::advance(Instant now)
+{
+    this->settleAccusations(now);
+    if (!this->changedStatuses.empty() || now >= this->nextRefresh) {
+        this->sendOwnStatuses(now);
+    }
+    if (now >= this->nextDigest) {
+        this->nextDigest = now + PEER_DIGEST_INTERVAL;
+        this->sendToAll(this->makeDigest(now));
+    }
+}
+
+void PeerExchange::accuse(QueryId query, std::uint64_t fingerprint, const std::string &serverId, Instant now)
+{
+    this->options.suspects.accuse(fingerprint, serverId, now);
+    const std::uint64_t number = ++this->accusationCount;
+    const Accusation accusation{.fingerprint = fingerprint, .serverId = serverId, .remaining = SINGLE_ACCUSATION_TIME};
+    this->sendToAll(PeerAccusation{.number = number, .accusation = accusation});
+    this->accusations[number] = {.query = query, .fingerprint = fingerprint, .unconfirmed = this->peers, .deadline = now + ACCUSATION_WAIT};
+    this->settleAccusations(now);
+}
+
+void PeerExchange::settleAccusations(Instant now)
+{
+    for (auto open = this->accusations.begin(); open != this->accusations.end();) {
+        const OpenAccusation &accusation = open->second;
+        if (!accusation.unconfirmed.empty() && now < accusation.deadline) {
+            ++open;
+            continue;
+        }
+        const int accused = this->options.suspects.accusedServers(accusation.fingerprint, now);
+        this->actions.emplace_back(AccusationKnown{.query = accusation.query, .fingerprint = accusation.fingerprint, .accusedServers = accused});
+        open = this->accusations.erase(open);
+    }
+}
+
+/// The \p count entries with the highest rendezvous weight for \p item.
+static std::vector<ListedEntry> rendezvousChoice(const std::string &item, std::vector<ListedEntry> entries, std::size_t count)
+{
+    const std::uint64_t seed = stableHash(item);
+    std::sort(entries.begin(), entries.end(), [seed](const ListedEntry &left, const ListedEntry &right) {
+        return stableHash(left.id, seed) > stableHash(right.id, seed);
+    });
+    entries.resize(std::min(entries.size(), count));
+    return entries;
+}
+
+std::vector<ListedEntry> choosePeers(const std::string &instance, const std::string &domain, const std::vector<ListedEntry> &entries)
+{
+    std::vector<ListedEntry> local;
+    std::vector<ListedEntry> remote;
+    std::vector<ListedEntry> chosen;
+    for (const ListedEntry &entry : entries) {
+        if (entry.id == instance) {
+            continue;
+        }
+        (entry.domain == domain ? local : remote).push_back(entry);
+        if (instance < entry.id) {
+            chosen.push_back(entry);
+        }
+    }
+    if (entries.size() <= FULL_MESH_LIMIT) {
+        // One link for each pair, opened by the one whose name comes first.
+        return chosen;
+    }
+    chosen = rendezvousChoice(instance, std::move(local), LOCAL_LINKS);
+    for (ListedEntry &entry : rendezvousChoice(instance, std::move(remote), REMOTE_LINKS)) {
+        chosen.push_back(std::move(entry));
+    }
+    return chosen;
+}
+
+bool isStoreWatcher(const std::string &instance, const std::string &domain, const std::vector<ListedEntry> &entries)
+{
+    std::vector<ListedEntry> local;
+    for (const ListedEntry &entry : entries) {
+        if (entry.domain == domain && !entry.leaving) {
+            local.push_back(entry);
+        }
+    }
+    const std::vector<ListedEntry> watchers = rendezvousChoice("store-watcher " + domain, std::move(local), WATCHERS_PER_DOMAIN);
+    return std::any_of(watchers.begin(), watchers.end(), [&instance](const ListedEntry &entry) { return entry.id == instance; });
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Runtime/ControlClaims.cpp
@@ -0,0 +1,60 @@
+/// \file
+/// The control thread's calls on the store for claims.
+#include "ragwortcart/Runtime/ControlPlane.h"
+
+#include "ControlTimers.h"
+
+namespace ragwort {
+
+void ControlPlane::performClaimActions()
+{
+    for (const ClaimAction &action : this->claims.takeActions()) {
+        if (const auto *read = std::get_if<ReadBucket>(&action)) {
+            this->readBucket(read->bucket);
+        } else if (const auto *write = std::get_if<WriteBucket>(&action)) {
+            this->writeBucket(*write);
+        } else {
+            const ClaimDecided &decided = std::get<DeliverClaim>(action).decided;
+            this->toWorkerOf(decided.query, decided);
+        }
+    }
+    if (const std::optional<Instant> next = this->claims.nextWakeup()) {
+        this->claimTimer.start(toTimerMs(*next - steadyNow()) + 1);
+    }
+}
+
+static std::string bucketKey(int bucket)
+{
+    return std::string(CLAIMS_PREFIX) + std::to_string(bucket);
+}
+
+void ControlPlane::readBucket(int bucket)
+{
+    this->platform.read(bucketKey(bucket), false, {.index = std::nullopt}, [this, bucket](const Result<KeyValues> &values) {
+        std::optional<ClaimBook::BucketContent> content;
+        if (values) {
+            const bool absent = values->entries.empty();
+            content = absent ? ClaimBook::BucketContent{}
+                             : ClaimBook::BucketContent{.json = values->entries.front().value.toStdString(), .index = values->entries.front().modifyIndex};
+        }
+        this->claims.onBucketRead(bucket, content, steadyNow(), wallClockMs());
+        this->performClaimActions();
+    });
+}
+
+void ControlPlane::writeBucket(const WriteBucket &write)
+{
+    const auto onWritten = [this, bucket = write.bucket](StoreWriteOutcome outcome) {
+        BucketWriteOutcome translated = BucketWriteOutcome::unknown;
+        if (outcome == StoreWriteOutcome::written) {
+            translated = BucketWriteOutcome::written;
+        } else if (outcome == StoreWriteOutcome::conflict) {
+            translated = BucketWriteOutcome::conflict;
+        }
+        this->claims.onBucketWritten(bucket, translated, steadyNow(), wallClockMs());
+        this->performClaimActions();
+    };
+    this->platform.write(bucketKey(write.bucket), QByteArray::fromStdString(write.value), write.expectedIndex, onWritten);
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Runtime/ControlPeers.cpp
@@ -0,0 +1,93 @@
+/// \file
+/// The control thread towards its peers: links, messages, accusations, warm-ups.
+#include "ragwortcart/Runtime/ControlPlane.h"
+
+#include "ragwortcart/Support/Hash.h"
+#include "ragwortcart/Support/Log.h"
+#include "ragwortcart/Wire/PeerCodec.h"
+
+namespace ragwort {
+
+PeerLinks::Handlers ControlPlane::makeLinkHandlers()
+{
+    PeerLinks::Handlers handlers;
+    handlers.onUp = [this](const std::string &peer) {
+        QMetaObject::invokeMethod(
+            this, [this, peer] { this->onLink(peer, true); }, Qt::QueuedConnection);
+    };
+    handlers.onDown = [this](const std::string &peer) {
+        QMetaObject::invokeMethod(
+            this, [this, peer] { this->onLink(peer, false); }, Qt::QueuedConnection);
+    };
+    handlers.onMessage = [this](const std::string &peer, const std::string &bytes) {
+        QMetaObject::invokeMethod(
+            this, [this, peer, bytes] { this->onPeerBytes(peer, bytes); }, Qt::QueuedConnection);
+    };
+    return handlers;
+}
+
+void ControlPlane::onLink(const std::string &peer, bool up)
+{
+    logEvent(LogLevel::info, "peer-link", {{.key = "peer", .value = peer}, {.key = "state", .value = up ? "up" : "down"}});
+    if (up) {
+        this->exchange.onLinkUp(peer, steadyNow());
+    } else {
+        this->exchange.onLinkDown(peer);
+    }
+    this->performPeerActions();
+}
+
+void ControlPlane::onPeerBytes(const std::string &peer, const std::string &bytes)
+{
+    const Result<PeerMessage> message = decodePeerMessage(bytes, peer);
+    if (!message) {
+        logEvent(LogLevel::warning, "peer-message-rejected", {{.key = "error", .value = message.error().describe()}});
+        return;
+    }
+    this->exchange.onMessage(peer, *message, steadyNow());
+    this->performPeerActions();
+}
+
+void ControlPlane::performPeerActions()
+{
+    for (const PeerAction &action : this->exchange.takeActions()) {
+        if (const auto *send = std::get_if<SendToPeer>(&action)) {
+            this->links.send(send->peer, encodePeerMessage(send->message));
+        } else if (const auto *offered = std::get_if<OfferDocument>(&action)) {
+            this->offer(offered->document.name, offered->document.json, offered->peer);
+        } else if (const auto *known = std::get_if<AccusationKnown>(&action)) {
+            this->toWorkerOf(known->query, AccusationSpread{.query = known->query, .fingerprint = known->fingerprint, .accusedServers = known->accusedServers});
+        } else {
+            this->scheduleRebuild();
+        }
+    }
+}
+
+void ControlPlane::updateWantedLinks()
+{
+    std::map<std::string, std::string> wanted;
+    for (const ListedEntry &peer : choosePeers(this->options.instance, this->options.domain, this->directory.entries())) {
+        wanted[peer.id] = peer.peerAddress;
+    }
+    this->links.setWanted(wanted);
+}
+
+void ControlPlane::accuse(const AccuseContent &accusation)
+{
+    logEvent(LogLevel::warning,
+             "content-accused",
+             {{.key = "fingerprint", .value = toHex(accusation.fingerprint)},
+              {.key = "server", .value = accusation.serverId},
+              {.key = "query", .value = std::to_string(accusation.query)}});
+    this->exchange.accuse(accusation.query, accusation.fingerprint, accusation.serverId, steadyNow());
+    this->performPeerActions();
+}
+
+void ControlPlane::announce(const AnnounceWarmUp &warmUp)
+{
+    this->exchange.announceWarmUp({.serverId = warmUp.serverId, .incarnation = warmUp.incarnation, .level = warmUp.level, .cold = warmUp.cold});
+    this->performPeerActions();
+    this->scheduleRebuild();
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Runtime/ControlPlatform.cpp
@@ -0,0 +1,206 @@
+/// \file
+/// The control thread towards the platform: configuration, instance list, seat.
+#include "ragwortcart/Runtime/ControlPlane.h"
+
+#include "ControlTimers.h"
+#include "ragwortcart/Support/Log.h"
+
+namespace ragwort {
+
+bool ControlPlane::followsStore() const
+{
+    const bool watcher = isStoreWatcher(this->options.instance, this->options.domain, this->directory.entries());
+    return watcher || this->freshness.age(steadyNow()) > WATCH_WITHOUT_PEERS_AGE;
+}
+
+void ControlPlane::watchConfiguration(std::uint64_t index)
+{
+    if (!this->followsStore()) {
+        QTimer::singleShot(toTimerMs(WATCH_RETRY_INTERVAL), this, [this, index] { this->watchConfiguration(index); });
+        return;
+    }
+    const Instant askedAt = steadyNow();
+    const WatchOptions watch{.index = index == 0 ? std::nullopt : std::optional(index), .wait = CONFIGURATION_WATCH_TIME};
+    this->platform.read(std::string(CONFIGURATION_PREFIX), true, watch, [this, askedAt, index](const Result<KeyValues> &values) {
+        this->onConfiguration(values, askedAt, index);
+    });
+}
+
+void ControlPlane::onConfiguration(const Result<KeyValues> &values, Instant askedAt, std::uint64_t index)
+{
+    if (!values) {
+        logEvent(LogLevel::debug, "configuration-watch-failed", {{.key = "error", .value = values.error().describe()}});
+        QTimer::singleShot(toTimerMs(WATCH_RETRY_INTERVAL), this, [this, index] { this->watchConfiguration(index); });
+        return;
+    }
+    // A watch answers with the state at its end; what it says was current at least when it was asked.
+    this->freshness.noteStore(askedAt);
+    for (const KeyValue &entry : values->entries) {
+        this->offer(entry.key.substr(CONFIGURATION_PREFIX.size()), entry.value, this->options.platformAddress);
+    }
+    if (values->entries.empty()) {
+        QTimer::singleShot(toTimerMs(WATCH_RETRY_INTERVAL), this, [this] { this->watchConfiguration(0); });
+        return;
+    }
+    this->watchConfiguration(values->index);
+}
+
+void ControlPlane::offer(const std::string &name, const QByteArray &json, const std::string &source)
+{
+    Error fault;
+    const OfferResult result = this->keeper.offer(name, json, source, &fault);
+    if (result == OfferResult::rejected) {
+        logEvent(LogLevel::error, "configuration-rejected", {{.key = "document", .value = name}, {.key = "error", .value = fault.describe()}});
+        return;
+    }
+    if (result != OfferResult::applied) {
+        return;
+    }
+    logEvent(
+        LogLevel::info,
+        "configuration-applied",
+        {{.key = "document", .value = name}, {.key = "sequence", .value = std::to_string(this->keeper.sequences()[name])}, {.key = "source", .value = source}});
+    const std::uint64_t sequence = this->keeper.sequences()[name];
+    this->exchange.onDocumentApplied({.name = name, .sequence = sequence, .json = json}, source);
+    this->options.configuration.publish(this->keeper.current());
+    this->directory.setConfiguration(this->keeper.current());
+    this->rebuild();
+}
+
+void ControlPlane::watchInstances(const std::string &service, std::uint64_t index)
+{
+    const WatchOptions watch{.index = index == 0 ? std::nullopt : std::optional(index), .wait = LIST_WATCH_TIME};
+    this->platform.list(service, watch, [this, service, index](const Result<PlatformInstances> &listed) {
+        if (!listed) {
+            QTimer::singleShot(toTimerMs(WATCH_RETRY_INTERVAL), this, [this, service, index] { this->watchInstances(service, index); });
+            return;
+        }
+        if (service == "ragwort-backend") {
+            this->onServers(*listed);
+        } else {
+            this->onEntries(*listed);
+        }
+        this->watchInstances(service, listed->index);
+    });
+}
+
+void ControlPlane::onServers(const PlatformInstances &listed)
+{
+    std::vector<ListedServer> servers;
+    for (const PlatformInstance &instance : listed.instances) {
+        servers.push_back({.identity = {.id = instance.id,
+                                        .address = instance.address,
+                                        .team = instance.metaValue("team"),
+                                        .group = instance.metaValue("group"),
+                                        .service = instance.metaValue("service"),
+                                        .domain = instance.metaValue("domain")},
+                           .leaving = instance.metaValue("state") == "leaving"});
+    }
+    this->listedServers = true;
+    if (this->directory.setServers(std::move(servers))) {
+        this->nextPoll = {};
+        this->rebuild();
+    }
+}
+
+void ControlPlane::onEntries(const PlatformInstances &listed)
+{
+    std::vector<ListedEntry> entries;
+    std::set<std::string> live;
+    std::set<std::string> domains;
+    for (const PlatformInstance &instance : listed.instances) {
+        entries.push_back({.id = instance.id,
+                           .domain = instance.metaValue("domain"),
+                           .peerAddress = instance.address,
+                           .operatorAddress = instance.metaValue("operators"),
+                           .leaving = instance.metaValue("state") == "leaving"});
+        live.insert(instance.id);
+        domains.insert(instance.metaValue("domain"));
+    }
+    this->listedEntries = true;
+    this->freshness.setDomains(std::move(domains));
+    this->seats.noteLiveInstances(live, steadyNow());
+    if (this->directory.setEntries(std::move(entries))) {
+        this->updateWantedLinks();
+        this->rebuild();
+    }
+    this->tryTakeSeat();
+}
+
+void ControlPlane::readSeats()
+{
+    if (this->seatCallRunning) {
+        return;
+    }
+    this->seatCallRunning = true;
+    this->readSeatsThen([this] {
+        this->seatCallRunning = false;
+        this->tryTakeSeat();
+    });
+}
+
+void ControlPlane::readSeatsThen(const std::function<void()> &next)
+{
+    this->platform.read(std::string(SEATS_KEY), false, {.index = std::nullopt}, [this, next](const Result<KeyValues> &values) {
+        if (values) {
+            this->onSeats(*values);
+        }
+        next();
+    });
+}
+
+void ControlPlane::onSeats(const KeyValues &values)
+{
+    const bool absent = values.entries.empty();
+    const std::optional<SeatTable> table = absent ? SeatTable() : decodeSeats(values.entries.front().value.toStdString());
+    if (!table) {
+        logEvent(LogLevel::error, "seat-table-unreadable", {{.key = "peer", .value = this->options.platformAddress}});
+        return;
+    }
+    const int before = this->seats.seat();
+    this->seats.noteTable(*table, absent ? 0 : values.entries.front().modifyIndex);
+    if (this->seats.seat() != before) {
+        logEvent(LogLevel::info, "seat", {{.key = "number", .value = std::to_string(this->seats.seat())}});
+    }
+    this->rebuild();
+}
+
+void ControlPlane::tryTakeSeat()
+{
+    const std::optional<SeatWrite> write = this->seats.wantedWrite(this->keeper.current()->tier.maximumInstances, steadyNow());
+    if (!write || this->seatCallRunning || this->keeper.current()->tier.sequence == 0) {
+        return;
+    }
+    this->seatCallRunning = true;
+    this->platform.write(std::string(SEATS_KEY), QByteArray::fromStdString(write->value), write->expectedIndex, [this](StoreWriteOutcome) {
+        // Whatever the outcome, the table tells who holds which seat.
+        this->seatCallRunning = false;
+        this->readSeats();
+    });
+}
+
+void ControlPlane::release(const std::function<void()> &done)
+{
+    static constexpr int RELEASE_TRIES = 5;
+    this->releaseSeat(RELEASE_TRIES, done);
+}
+
+void ControlPlane::releaseSeat(int triesLeft, const std::function<void()> &done)
+{
+    const std::optional<SeatWrite> write = this->seats.releaseWrite();
+    if (!write || triesLeft == 0) {
+        done();
+        return;
+    }
+    const auto onWritten = [this, triesLeft, done](StoreWriteOutcome outcome) {
+        if (outcome == StoreWriteOutcome::written) {
+            done();
+            return;
+        }
+        // Another instance has changed the table meanwhile: read it again and give back what is still held.
+        this->readSeatsThen([this, triesLeft, done] { this->releaseSeat(triesLeft - 1, done); });
+    };
+    this->platform.write(std::string(SEATS_KEY), QByteArray::fromStdString(write->value), write->expectedIndex, onWritten);
+}
+
+} // namespace ragwort
--- a/lib/Runtime/EntryProcess.cpp
+++ b/lib/Runtime/EntryProcess.cpp
@@ -56,6 +56,7 @@
     , control({.instance = this->settings.instance,
                .domain = this->settings.domain,
                .platformAddress = this->settings.platformAddress,
+               .peersAddress = this->settings.peersAddress,
                .configuration = this->configuration,
                .topology = this->topology,
                .suspects = this->suspects,
@@ -91,6 +92,7 @@
 
 EntryProcess::~EntryProcess()
 {
+    this->control.stop();
     for (const auto &worker : this->workers) {
         worker->stopAndJoin();
     }
@@ -138,7 +140,10 @@
             return port;
         }
     }
-    this->control.start();
+    const Result<bool> controlStarted = this->control.start();
+    if (!controlStarted) {
+        return controlStarted.error();
+    }
     return port;
 }
 
--- /dev/null
+++ b/lib/Wire/PeerCodec.cpp
@@ -0,0 +1,202 @@
+/// \file
+/// Peer messages as CBOR arrays: the number of the type, then its fields in order.
+#include "ragwortcart/Wire/PeerCodec.h"
+
+#include <QCborArray>
+#include <QCborMap>
+#include <QCborValue>
+
+namespace ragwort {
+
+/// Numbers on the wire; never reused for another meaning.
+enum class PeerType { hello = 1, digest = 2, documents = 3, statuses = 4, accusation = 5, accusationAck = 6, warmUp = 7 };
+
+static QCborValue text(const std::string &value)
+{
+    return {QString::fromStdString(value)};
+}
+
+static QCborValue number(std::uint64_t value)
+{
+    return {static_cast<qint64>(value)};
+}
+
+static std::string textOf(const QCborValue &value)
+{
+    return value.toString().toStdString();
+}
+
+static std::uint64_t numberOf(const QCborValue &value)
+{
+    return static_cast<std::uint64_t>(value.toInteger());
+}
+
+static QCborArray begin(PeerType type)
+{
+    return QCborArray{static_cast<int>(type)};
+}
+
+static QCborArray encode(const PeerHello &hello)
+{
+    QCborArray array = begin(PeerType::hello);
+    array.append(text(hello.instance));
+    array.append(text(hello.domain));
+    return array;
+}
+
+static QCborArray encode(const PeerDigest &digest)
+{
+    QCborArray array = begin(PeerType::digest);
+    array.append(static_cast<qint64>(digest.configurationAgeUs));
+    QCborMap sequences;
+    for (const auto &[name, sequence] : digest.sequences) {
+        sequences.insert(QString::fromStdString(name), number(sequence));
+    }
+    array.append(sequences);
+    return array;
+}
+
+static QCborArray encode(const PeerDocuments &documents)
+{
+    QCborArray array = begin(PeerType::documents);
+    for (const ConfigurationDocument &document : documents.documents) {
+        array.append(QCborArray{text(document.name), number(document.sequence), document.json});
+    }
+    return array;
+}
+
+static QCborArray encode(const PeerStatuses &statuses)
+{
+    QCborArray array = begin(PeerType::statuses);
+    for (const PeerStatus &told : statuses.statuses) {
+        const ServerReport &report = told.status.report;
+        QCborArray held;
+        for (const HeldSnapshot &snapshot : told.status.snapshots) {
+            held.append(QCborArray{
+                number(snapshot.id), number(snapshot.range.begin), number(snapshot.range.end), number(snapshot.documents), number(snapshot.totalDocuments)});
+        }
+        const int flags = (report.cold ? 1 : 0) | (report.draining ? 2 : 0);
+        array.append(QCborArray{text(told.status.serverId), number(report.incarnation), flags, report.load, static_cast<qint64>(told.ageUs), held});
+    }
+    return array;
+}
+
+static QCborArray encode(const PeerAccusation &told)
+{
+    QCborArray array = begin(PeerType::accusation);
+    array.append(number(told.number));
+    array.append(number(told.accusation.fingerprint));
+    array.append(text(told.accusation.serverId));
+    array.append(static_cast<qint64>(told.accusation.remaining.count()));
+    return array;
+}
+
+static QCborArray encode(const PeerAccusationAck &ack)
+{
+    QCborArray array = begin(PeerType::accusationAck);
+    array.append(number(ack.number));
+    return array;
+}
+
+static QCborArray encode(const PeerWarmUp &warmUp)
+{
+    QCborArray array = begin(PeerType::warmUp);
+    array.append(text(warmUp.serverId));
+    array.append(number(warmUp.incarnation));
+    array.append(warmUp.level);
+    array.append(warmUp.cold);
+    return array;
+}
+
+std::string encodePeerMessage(const PeerMessage &message)
+{
+    const QCborArray array = std::visit([](const auto &typed) { return encode(typed); }, message);
+    return QCborValue(array).toCbor().toStdString();
+}
+
+static PeerDigest decodeDigest(const QCborArray &array)
+{
+    PeerDigest digest{.configurationAgeUs = array.at(1).toInteger(-1), .sequences = {}};
+    const QCborMap sequences = array.at(2).toMap();
+    for (auto entry = sequences.begin(); entry != sequences.end(); ++entry) {
+        digest.sequences[textOf(entry.key())] = numberOf(entry.value());
+    }
+    return digest;
+}
+
+static PeerDocuments decodeDocuments(const QCborArray &array)
+{
+    PeerDocuments documents;
+    for (qsizetype index = 1; index < array.size(); ++index) {
+        const QCborArray document = array.at(index).toArray();
+        documents.documents.push_back({.name = textOf(document.at(0)), .sequence = numberOf(document.at(1)), .json = document.at(2).toByteArray()});
+    }
+    return documents;
+}
+
+static PeerStatus decodeStatus(const QCborArray &array)
+{
+    const qint64 flags = array.at(2).toInteger();
+    PeerStatus told{
+        .status
+        = {.serverId = textOf(array.at(0)),
+           .report
+           = {.incarnation = numberOf(array.at(1)), .cold = (flags & 1) != 0, .draining = (flags & 2) != 0, .load = static_cast<int>(array.at(3).toInteger())},
+           .snapshots = {}},
+        .ageUs = array.at(4).toInteger()};
+    const QCborArray snapshots = array.at(5).toArray();
+    for (const QCborValue &value : snapshots) {
+        const QCborArray held = value.toArray();
+        told.status.snapshots.push_back({.id = numberOf(held.at(0)),
+                                         .range = {.begin = numberOf(held.at(1)), .end = std::min(numberOf(held.at(2)), KEY_SPACE_END)},
+                                         .documents = numberOf(held.at(3)),
+                                         .totalDocuments = numberOf(held.at(4))});
+    }
+    return told;
+}
+
+static PeerStatuses decodeStatuses(const QCborArray &array)
+{
+    PeerStatuses statuses;
+    for (qsizetype index = 1; index < array.size(); ++index) {
+        statuses.statuses.push_back(decodeStatus(array.at(index).toArray()));
+    }
+    return statuses;
+}
+
+Result<PeerMessage> decodePeerMessage(std::string_view bytes, const std::string &peer)
+{
+    QCborParserError error{};
+    const QByteArray data = QByteArray::fromRawData(bytes.data(), static_cast<qsizetype>(bytes.size()));
+    const QCborValue value = QCborValue::fromCbor(data, &error);
+    const QCborArray array = value.toArray();
+    const auto malformed
+        = [&peer](const char *detail) { return Error{.code = Errc::protocolViolation, .step = "decode-peer-message", .peer = peer, .detail = detail}; };
+    if (error.error != QCborError{QCborError::NoError} || array.isEmpty()) {
+        return malformed("not a CBOR array");
+    }
+    switch (static_cast<PeerType>(array.at(0).toInteger())) {
+    case PeerType::hello:
+        return PeerMessage(PeerHello{.instance = textOf(array.at(1)), .domain = textOf(array.at(2))});
+    case PeerType::digest:
+        return PeerMessage(decodeDigest(array));
+    case PeerType::documents:
+        return PeerMessage(decodeDocuments(array));
+    case PeerType::statuses:
+        return PeerMessage(decodeStatuses(array));
+    case PeerType::accusation:
+        return PeerMessage(PeerAccusation{
+            .number = numberOf(array.at(1)),
+            .accusation = {.fingerprint = numberOf(array.at(2)), .serverId = textOf(array.at(3)), .remaining = Duration(array.at(4).toInteger())}});
+    case PeerType::accusationAck:
+        return PeerMessage(PeerAccusationAck{.number = numberOf(array.at(1))});
+    case PeerType::warmUp:
+        return PeerMessage(PeerWarmUp{.serverId = textOf(array.at(1)),
+                                      .incarnation = numberOf(array.at(2)),
+                                      .level = static_cast<int>(array.at(3).toInteger()),
+                                      .cold = array.at(4).toBool()});
+    }
+    return malformed("unknown type");
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/lib/Wire/PeerLinks.cpp
@@ -0,0 +1,304 @@
+/// \file
+/// Peer links on websocketpp.
+///
+/// Each side names itself in the HTTP header `Ragwort-Instance` of the handshake, so that a link has a peer from its first
+/// moment. Where both sides open a link at once, both keep the one that was opened by the side whose name comes first.
+#include "ragwortcart/Wire/PeerLinks.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <set>
+#include <thread>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace ragwort {
+
+using Server = websocketpp::server<websocketpp::config::asio>;
+using Client = websocketpp::client<websocketpp::config::asio_client>;
+using Handle = websocketpp::connection_hdl;
+
+static constexpr std::chrono::milliseconds RECONNECT_INTERVAL{300};
+static constexpr std::chrono::milliseconds SILENCE_LIMIT{3000};
+static constexpr long OPEN_TIMEOUT_MS = 1000;
+static constexpr std::size_t MAXIMUM_MESSAGE_BYTES = 8U * 1024U * 1024U;
+/// Beyond this backlog a peer that does not read is given up.
+static constexpr std::size_t MAXIMUM_BACKLOG_BYTES = 16U * 1024U * 1024U;
+static const char *const INSTANCE_HEADER = "Ragwort-Instance";
+
+/// websocketpp's default log level writes to standard output.
+template <typename Endpoint>
+static void silence(Endpoint &endpoint)
+{
+    endpoint.clear_access_channels(websocketpp::log::alevel::all);
+    endpoint.clear_error_channels(websocketpp::log::elevel::all);
+    endpoint.set_max_message_size(MAXIMUM_MESSAGE_BYTES);
+}
+
+class PeerLinks::Core : public std::enable_shared_from_this<PeerLinks::Core>
+{
+public:
+    Core(Options linkOptions, Handlers linkHandlers) : options(std::move(linkOptions)), handlers(std::move(linkHandlers)), timer(context)
+    {
+    }
+
+    std::string start()
+    {
+        silence(this->server);
+        silence(this->client);
+        this->server.init_asio(&this->context);
+        this->client.init_asio(&this->context);
+        this->server.set_reuse_addr(true);
+        this->client.set_open_handshake_timeout(OPEN_TIMEOUT_MS);
+        this->server.set_validate_handler([this](Handle handle) {
+            const auto connection = this->server.get_con_from_hdl(handle);
+            connection->append_header(INSTANCE_HEADER, this->options.instance);
+            return !connection->get_request_header(INSTANCE_HEADER).empty();
+        });
+        this->server.set_open_handler(
+            [this](Handle handle) { this->up(this->server.get_con_from_hdl(handle)->get_request_header(INSTANCE_HEADER), handle, true); });
+        this->client.set_open_handler(
+            [this](Handle handle) { this->up(this->client.get_con_from_hdl(handle)->get_response_header(INSTANCE_HEADER), handle, false); });
+        this->server.set_close_handler([this](Handle handle) { this->down(handle); });
+        this->client.set_close_handler([this](Handle handle) { this->down(handle); });
+        this->client.set_fail_handler([this](Handle handle) { this->connecting.erase(handle); });
+        this->server.set_message_handler([this](Handle handle, Server::message_ptr message) { this->receive(handle, message->get_payload()); });
+        this->client.set_message_handler([this](Handle handle, Client::message_ptr message) { this->receive(handle, message->get_payload()); });
+        const std::string fault = this->listen();
+        if (fault.empty()) {
+            this->check();
+            this->thread = std::thread([this] { this->context.run(); });
+        }
+        return fault;
+    }
+
+    void stop()
+    {
+        this->context.stop();
+        if (this->thread.joinable()) {
+            this->thread.join();
+        }
+    }
+
+    void post(std::function<void()> task)
+    {
+        boost::asio::post(this->context, std::move(task));
+    }
+
+    void send(const std::string &peer, const std::string &bytes)
+    {
+        const auto found = this->links.find(peer);
+        if (found == this->links.end()) {
+            return;
+        }
+        const Link &link = found->second;
+        websocketpp::lib::error_code error;
+        if (this->backlogOf(link) > MAXIMUM_BACKLOG_BYTES) {
+            this->close(link);
+            return;
+        }
+        if (link.accepted) {
+            this->server.send(link.handle, bytes, websocketpp::frame::opcode::binary, error);
+        } else {
+            this->client.send(link.handle, bytes, websocketpp::frame::opcode::binary, error);
+        }
+        if (!error) {
+            this->counts.bytesSent += bytes.size();
+            ++this->counts.messagesSent;
+        }
+    }
+
+    Options options;
+    PeerLinkCounts counts;
+    std::map<std::string, std::string> wanted;
+
+private:
+    using Clock = std::chrono::steady_clock;
+
+    struct Link
+    {
+        Handle handle;
+        /// Opened by the peer.
+        bool accepted = false;
+        Clock::time_point lastHeard;
+    };
+
+    std::string listen()
+    {
+        const std::size_t colon = this->options.address.rfind(':');
+        websocketpp::lib::error_code error;
+        boost::system::error_code addressError;
+        const auto number = boost::asio::ip::make_address(this->options.address.substr(0, colon), addressError);
+        if (addressError) {
+            return "not an address by number: " + this->options.address;
+        }
+        const auto port = static_cast<std::uint16_t>(std::atoi(this->options.address.c_str() + colon + 1));
+        this->server.listen(boost::asio::ip::tcp::endpoint(number, port), error);
+        if (!error) {
+            this->server.start_accept(error);
+        }
+        return error ? error.message() : std::string();
+    }
+
+    std::size_t backlogOf(const Link &link)
+    {
+        websocketpp::lib::error_code error;
+        if (link.accepted) {
+            const auto connection = this->server.get_con_from_hdl(link.handle, error);
+            return connection ? connection->buffered_amount() : 0;
+        }
+        const auto connection = this->client.get_con_from_hdl(link.handle, error);
+        return connection ? connection->buffered_amount() : 0;
+    }
+
+    void close(const Link &link)
+    {
+        websocketpp::lib::error_code error;
+        if (link.accepted) {
+            if (const auto connection = this->server.get_con_from_hdl(link.handle, error)) {
+                connection->terminate(websocketpp::lib::error_code());
+            }
+            return;
+        }
+        if (const auto connection = this->client.get_con_from_hdl(link.handle, error)) {
+            connection->terminate(websocketpp::lib::error_code());
+        }
+    }
+
+    void up(const std::string &peer, Handle handle, bool accepted)
+    {
+        this->connecting.erase(handle);
+        const auto before = this->links.find(peer);
+        if (before != this->links.end()) {
+            const bool openedByFirst = accepted == (peer < this->options.instance);
+            if (before->second.accepted != accepted && !openedByFirst) {
+                this->close({handle, accepted, Clock::now()});
+                return;
+            }
+            const Link old = before->second;
+            this->peers.erase(old.handle);
+            this->links.erase(before);
+            this->handlers.onDown(peer);
+            this->close(old);
+        }
+        this->links[peer] = {handle, accepted, Clock::now()};
+        this->peers[handle] = peer;
+        this->handlers.onUp(peer);
+    }
+
+    void down(Handle handle)
+    {
+        this->connecting.erase(handle);
+        const auto found = this->peers.find(handle);
+        if (found == this->peers.end()) {
+            return;
+        }
+        const std::string peer = found->second;
+        this->peers.erase(found);
+        this->links.erase(peer);
+        this->handlers.onDown(peer);
+    }
+
+    void receive(Handle handle, const std::string &bytes)
+    {
+        const auto found = this->peers.find(handle);
+        if (found == this->peers.end()) {
+            return;
+        }
+        this->counts.bytesReceived += bytes.size();
+        ++this->counts.messagesReceived;
+        this->links[found->second].lastHeard = Clock::now();
+        this->handlers.onMessage(found->second, bytes);
+    }
+
+    void connect(const std::string &peer, const std::string &address)
+    {
+        for (const auto &[handle, name] : this->connecting) {
+            if (name == peer) {
+                return;
+            }
+        }
+        websocketpp::lib::error_code error;
+        const auto connection = this->client.get_connection("ws://" + address + "/", error);
+        if (error) {
+            return;
+        }
+        connection->append_header(INSTANCE_HEADER, this->options.instance);
+        this->connecting[connection->get_handle()] = peer;
+        this->client.connect(connection);
+    }
+
+    void check()
+    {
+        const Clock::time_point now = Clock::now();
+        std::map<std::string, Link> silent;
+        for (const auto &[peer, link] : this->links) {
+            if (now - link.lastHeard > SILENCE_LIMIT) {
+                silent[peer] = link;
+            }
+        }
+        for (const auto &[peer, link] : silent) {
+            this->close(link);
+        }
+        for (const auto &[peer, address] : this->wanted) {
+            if (this->links.find(peer) == this->links.end()) {
+                this->connect(peer, address);
+            }
+        }
+        this->timer.expires_after(RECONNECT_INTERVAL);
+        this->timer.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                this->check();
+            }
+        });
+    }
+
+    Handlers handlers;
+    boost::asio::io_context context;
+    boost::asio::steady_timer timer;
+    Server server;
+    Client client;
+    std::map<std::string, Link> links;
+    std::map<Handle, std::string, std::owner_less<Handle>> peers;
+    std::map<Handle, std::string, std::owner_less<Handle>> connecting;
+    std::thread thread;
+};
+
+PeerLinks::PeerLinks(Options linkOptions, Handlers linkHandlers) : core(std::make_shared<Core>(std::move(linkOptions), std::move(linkHandlers)))
+{
+}
+
+PeerLinks::~PeerLinks()
+{
+    this->stop();
+}
+
+std::string PeerLinks::start()
+{
+    return this->core->start();
+}
+
+void PeerLinks::stop()
+{
+    this->core->stop();
+}
+
+void PeerLinks::setWanted(const std::map<std::string, std::string> &wanted)
+{
+    this->core->post([core = this->core, wanted] { core->wanted = wanted; });
+}
+
+void PeerLinks::send(const std::string &peer, const std::string &bytes)
+{
+    this->core->post([core = this->core, peer, bytes] { core->send(peer, bytes); });
+}
+
+const PeerLinkCounts &PeerLinks::counts() const
+{
+    return this->core->counts;
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/unittests/Wire/PeerCodecTest.cpp
@@ -0,0 +1,70 @@
+#include "ragwortcart/Wire/PeerCodec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace ragwort {
+
+/// What a message becomes on its way to a peer.
+static PeerMessage roundTrip(const PeerMessage &message)
+{
+    const Result<PeerMessage> decoded = decodePeerMessage(encodePeerMessage(message), "peer");
+    EXPECT_TRUE(decoded);
+    return *decoded;
+}
+
+TEST(PeerCodecTest, everyTypeSurvives)
+{
+    const auto hello = std::get<PeerHello>(roundTrip(PeerHello{.instance = "e", .domain = "d"}));
+    EXPECT_EQ(hello.instance, "e");
+    EXPECT_EQ(hello.domain, "d");
+    const auto digest = std::get<PeerDigest>(roundTrip(PeerDigest{.configurationAgeUs = 5, .sequences = {{"tier", 3}}}));
+    EXPECT_EQ(digest.configurationAgeUs, 5);
+    EXPECT_EQ(digest.sequences.at("tier"), 3U);
+    const auto documents = std::get<PeerDocuments>(roundTrip(PeerDocuments{.documents = {{.name = "n", .sequence = 2, .json = "{}"}}}));
+    EXPECT_EQ(documents.documents.at(0).json, "{}");
+    PeerStatus status{.status = {.serverId = "s", .report = {.incarnation = 7, .cold = true, .draining = true, .load = 4}, .snapshots = {}}, .ageUs = 9};
+    status.status.snapshots.push_back({.id = 1, .range = {.begin = 2, .end = 3}, .documents = 4, .totalDocuments = 5});
+    const auto statuses = std::get<PeerStatuses>(roundTrip(PeerStatuses{.statuses = {status}}));
+    EXPECT_TRUE(statuses.statuses.at(0).status.report.cold);
+    EXPECT_TRUE(statuses.statuses.at(0).status.report.draining);
+    EXPECT_EQ(statuses.statuses.at(0).status.snapshots.at(0).totalDocuments, 5U);
+    EXPECT_EQ(statuses.statuses.at(0).ageUs, 9);
+    const PeerAccusation accusation{.number = 1, .accusation = {.fingerprint = 0xFFFFFFFFFFFFFFFFULL, .serverId = "s", .remaining = Duration(8)}};
+    EXPECT_EQ(std::get<PeerAccusation>(roundTrip(accusation)).accusation.fingerprint, 0xFFFFFFFFFFFFFFFFULL);
+    EXPECT_EQ(std::get<PeerAccusationAck>(roundTrip(PeerAccusationAck{.number = 3})).number, 3U);
+    const auto warmUp = std::get<PeerWarmUp>(roundTrip(PeerWarmUp{.serverId = "s", .incarnation = 2, .level = 3, .cold = true}));
+    EXPECT_EQ(warmUp.level, 3);
+    EXPECT_TRUE(warmUp.cold);
+}
+
+TEST(PeerCodecTest, nonsenseIsRejectedWithThePeersName)
+{
+    for (const std::string &bytes : {std::string(), std::string("\xff\xff"), std::string("hello"), std::string("\x81\x18\x63")}) {
+        const Result<PeerMessage> decoded = decodePeerMessage(bytes, "peer-3");
+        ASSERT_FALSE(decoded);
+        EXPECT_EQ(decoded.error().peer, "peer-3");
+    }
+}
+
+/// Damaged messages are decoded to something or rejected, but never crash.
+TEST(PeerCodecTest, damagedMessagesDoNoHarm)
+{
+    PeerStatuses statuses;
+    for (int index = 0; index < 3; ++index) {
+        statuses.statuses.push_back({.status = {.serverId = "s", .report = {}, .snapshots = {{.id = 1, .range = {.begin = 0, .end = 9}}}}, .ageUs = 1});
+    }
+    const std::string sound = encodePeerMessage(statuses);
+    const bool holds = rc::check("damage does no harm", [&sound] {
+        std::string damaged = sound;
+        const auto count = *rc::gen::inRange(1, 6);
+        for (int index = 0; index < count; ++index) {
+            damaged[*rc::gen::inRange<std::size_t>(0, damaged.size())] = static_cast<char>(*rc::gen::inRange(0, 256));
+        }
+        damaged.resize(*rc::gen::inRange<std::size_t>(0, damaged.size() + 1));
+        decodePeerMessage(damaged, "peer");
+    });
+    EXPECT_TRUE(holds);
+}
+
+} // namespace ragwort
