--- a/include/ragwortcart/Control/SeatKeeper.h
+++ b/include/ragwortcart/Control/SeatKeeper.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ragwort {
@@ -29,6 +30,11 @@
 /// The same for a holder that was never seen on the list: the list may lag behind its start.
 inline constexpr Duration SEAT_UNLISTED_DELAY = std::chrono::seconds(120);
 
+/// For how long after reading the table its holder may stand in for a free seat.
+inline constexpr Duration SEAT_TABLE_LIFETIME = std::chrono::milliseconds(2500);
+/// How long a new holder waits before it owns warm-ups; longer than any table can still be relied on.
+inline constexpr Duration SEAT_SETTLE_TIME = std::chrono::seconds(5);
+
 struct SeatWrite
 {
     std::string value;
@@ -40,8 +46,8 @@
 public:
     explicit SeatKeeper(std::string ownInstance);
 
-    /// The table as the store has it; \p index is its modify index, 0 when there is none yet.
-    void noteTable(const SeatTable &table, std::uint64_t index);
+    /// The table as the store has it, asked at \p askedAt; \p index is its modify index, 0 when there is none yet.
+    void noteTable(const SeatTable &newTable, std::uint64_t index, Instant askedAt);
 
     /// The platform's instance list.
     void noteLiveInstances(const std::set<std::string> &live, Instant now);
@@ -58,7 +64,12 @@
         return this->ownSeat;
     }
 
-    std::vector<std::string> holders() const;
+    /// Until when this instance owns the warm-up of a server; the clock's zero when it does not.
+    ///
+    /// The owner is the seat that the server's hash falls on, for good. Where that seat is free the next occupied one
+    /// stands in, but only while its holder knows the table to be recent, and a new holder waits until all who stood in
+    /// for it must have read of it. So no two instances can both believe that they own a server.
+    Instant ownsWarmUpUntil(std::string_view serverId, int seats, Instant now) const;
 
 private:
     std::optional<int> freeSeat(int seats, Instant now) const;
@@ -69,6 +80,8 @@
     bool tableKnown = false;
     bool listKnown = false;
     int ownSeat = -1;
+    Instant seatedAt{};
+    Instant tableAskedAt{};
     /// When the list first lacked a holder of a seat.
     std::map<std::string, Instant> missingSince;
     std::set<std::string> everListed;
--- a/include/ragwortcart/Control/ServerDirectory.h
+++ b/include/ragwortcart/Control/ServerDirectory.h
@@ -3,6 +3,7 @@
 #ifndef RAGWORTCART_CONTROL_SERVERDIRECTORY_H
 #define RAGWORTCART_CONTROL_SERVERDIRECTORY_H
 
+#include "ragwortcart/Control/SeatKeeper.h"
 #include "ragwortcart/Kernel/Topology.h"
 #include "ragwortcart/Model/Configuration.h"
 #include "ragwortcart/Model/ServerStatus.h"
@@ -48,13 +49,12 @@
     bool setServers(std::vector<ListedServer> listed);
     bool setEntries(std::vector<ListedEntry> listed);
     bool setConfiguration(std::shared_ptr<const Configuration> next);
-    bool setSeat(int number, int count);
     bool setCrossDomainAllowed(bool allowed);
     /// Keeps the newer of two statuses; an older one than known is ignored.
     bool noteStatus(const ServerStatus &status, Instant observedAt);
 
-    /// Makes the topology of everything known now.
-    std::shared_ptr<const Topology> build();
+    /// Makes the topology of everything known now, with the shares that go with this instance's seat.
+    std::shared_ptr<const Topology> build(const SeatKeeper &seats, Instant now);
 
     const std::vector<ListedEntry> &entries() const
     {
@@ -70,12 +70,6 @@
     /// domain, or of the whole tier where its domain has none.
     std::vector<std::shared_ptr<ServerRecord>> serversToPoll() const;
 
-    /// The instance that alone may send to a server at the first level of its warm-up.
-    std::string coldOwner(std::string_view serverId) const;
-
-    /// Entry instances that hold a seat; the owners of cold servers are chosen among them.
-    bool setSeatHolders(std::vector<std::string> holders);
-
 private:
     void applyBarriers(ServerRecord &record, const ListedServer &listed) const;
     void addSnapshots(GroupTopology &group, const std::shared_ptr<ServerRecord> &record) const;
@@ -84,11 +78,9 @@
     std::string domain;
     std::vector<ListedServer> listedServers;
     std::vector<ListedEntry> listedEntries;
-    std::vector<std::string> seatHolders;
     std::map<std::string, std::shared_ptr<ServerRecord>, std::less<>> records;
     std::map<std::string, ObservedStatus> observed;
     std::shared_ptr<const Configuration> configuration = std::make_shared<const Configuration>();
-    ShareInputs shares;
     bool crossDomainAllowed = true;
     std::uint64_t version = 0;
 };
--- a/include/ragwortcart/Kernel/KernelMessages.h
+++ b/include/ragwortcart/Kernel/KernelMessages.h
@@ -40,6 +40,13 @@
     std::optional<ServerReport> report;
 };
 
+/// A cancelled sub-request occupies its server no longer: its answer came after all, or its connection is closed.
+struct SubEnded
+{
+    QueryId query = 0;
+    AttemptId attempt = 0;
+};
+
 enum class ClaimVerdict {
     /// The claim stands under this query's token; the action may be sent once.
     granted,
@@ -74,7 +81,7 @@
 {
 };
 
-using KernelEvent = std::variant<QueryArrived, CallerGone, SubAnswered, SubFailed, ClaimDecided, AccusationSpread, DrainRequested>;
+using KernelEvent = std::variant<QueryArrived, CallerGone, SubAnswered, SubFailed, SubEnded, ClaimDecided, AccusationSpread, DrainRequested>;
 
 // Actions.
 
--- a/include/ragwortcart/Kernel/QueryEngine.h
+++ b/include/ragwortcart/Kernel/QueryEngine.h
@@ -14,6 +14,7 @@
 #include "ragwortcart/Support/Published.h"
 #include "ragwortcart/Support/TimerService.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -124,6 +125,9 @@
     bool mayExposeAnother(const ActiveQuery &query, Instant now);
     void continueAfterFailedPart(ActiveQuery &query, Instant now);
     void closeAttempt(PartAttempt &attempt);
+    void cancelAttempt(QueryId query, PartAttempt &attempt);
+    void onSubEnded(const SubEnded &event, Instant now);
+    void settleFailure(ActiveQuery &query, std::size_t partIndex, const ServerPointer &server, const SubFailed &event, Instant now);
     void cancelOpenAttempts(ActiveQuery &query, QueryPart &part);
     void dispatchWaiting(Instant now);
     void waitForPermit(ActiveQuery &query, std::size_t partIndex, Instant now);
@@ -132,6 +136,7 @@
     void applyReport(ServerRecord &server, const ServerReport &report);
     void recordGoodAnswer(ActiveQuery &query, ServerRecord &server, Duration latency, bool reportedCold, Instant now);
     void recordFailure(ActiveQuery &query, ServerRecord &server, SubFailure failure, Instant now);
+    void suspectCold(ServerRecord &server, const BackendGroup &group);
     void markCold(ServerRecord &server, const BackendGroup &group);
 
     // Actions that may run at most once (ActionSteps.cpp).
@@ -157,6 +162,8 @@
     std::vector<std::pair<QueryId, std::size_t>> waitingParts;
     /// Queries parked behind the canary of the same content.
     std::unordered_map<std::uint64_t, std::vector<QueryId>> parkedBehindCanary;
+    /// Servers of cancelled attempts that have not ended yet. Invariant: each entry holds one permit of its server.
+    std::map<std::pair<QueryId, AttemptId>, ServerPointer> cancelling;
     bool waitTimerArmed = false;
     bool queueTimerArmed = false;
     bool draining = false;
--- a/include/ragwortcart/Kernel/ServerRecord.h
+++ b/include/ragwortcart/Kernel/ServerRecord.h
@@ -51,17 +51,17 @@
     void setBarrier(Barrier barrier, bool present);
 
     /// Takes one of this instance's permits for a request in flight; false when its share is used up.
-    bool tryAcquire();
+    bool tryAcquire(Instant now);
     void release();
 
     /// Permits in use if one more request were sent, relative to the limit in force.
-    bool hasPermit() const
+    bool hasPermit(Instant now) const
     {
-        return this->inFlight.load(std::memory_order_relaxed) < this->limit();
+        return this->inFlight.load(std::memory_order_relaxed) < this->limit(now);
     }
 
     /// The limit in force: the warm share, or what the ramp allows during a cold start.
-    int limit() const;
+    int limit(Instant now) const;
 
     /// Moving average of latency in microseconds; zero before the first answer.
     std::int64_t meanLatencyUs() const
@@ -70,6 +70,12 @@
     }
     void recordLatency(Duration latency);
 
+    /// True while this instance alone may send to the server at level zero of its warm-up, and decides on the next level.
+    bool ownsWarmUp(Instant now) const
+    {
+        return now.time_since_epoch().count() < this->coldOwnerUntilUs.load(std::memory_order_acquire);
+    }
+
     bool isEjected(Instant now) const
     {
         return now.time_since_epoch().count() < this->ejectedUntilUs.load(std::memory_order_relaxed);
@@ -79,13 +85,17 @@
     std::atomic<int> inFlight{0};
     /// This instance's share of the server's connections; the shares of all instances sum to at most the server's limit.
     std::atomic<int> warmShare{0};
-    /// This instance's share of what the server bears at the present level of its warm-up.
+    /// This instance's part of what the tier may send above level zero of the server's warm-up.
     std::atomic<int> coldShare{0};
+    /// What the owner of the warm-up alone may send, and until when this instance is the owner.
+    std::atomic<int> coldOwnerShare{0};
+    std::atomic<std::int64_t> coldOwnerUntilUs{0};
     std::atomic<bool> cold{false};
+    /// The server was out of reach and may have been restarted: it is treated as cold until a report shows the incarnation
+    /// that was known before.
+    std::atomic<bool> coldSuspected{false};
     /// Steps of the warm-up done; each doubles what the tier as a whole may send.
     std::atomic<int> warmUpLevel{0};
-    /// True when this instance alone may send to the server at level zero and decides on the next level.
-    std::atomic<bool> coldOwner{false};
     /// Good answers at the present level.
     std::atomic<int> warmUpAnswers{0};
     std::atomic<int> consecutiveSlow{0};
--- a/include/ragwortcart/Kernel/Shares.h
+++ b/include/ragwortcart/Kernel/Shares.h
@@ -22,20 +22,24 @@
     /// Negative while the instance holds no seat; it then may not send at all.
     int seat = -1;
     int seats = 1;
-    bool coldOwner = false;
+    /// Until when this instance owns the warm-up of the server in question; the clock's zero when it does not.
+    Instant coldOwnerUntil{};
 
     /// The same seat, with the ownership of one server.
-    ShareInputs forServer(bool owner) const
+    ShareInputs forServer(Instant ownerUntil) const
     {
-        return {.seat = this->seat, .seats = this->seats, .coldOwner = owner};
+        return {.seat = this->seat, .seats = this->seats, .coldOwnerUntil = ownerUntil};
     }
 };
 
 /// Recomputes the shares in \p record from the limits of its group.
 void updateShares(ServerRecord &record, const BackendGroup &group, const ShareInputs &inputs);
 
-/// The share at the present warm-up level: the owner holds the capacity of level zero, all seats divide the rest.
-int coldShareAtLevel(const BackendGroup &group, int level, const ShareInputs &inputs, std::string_view serverId);
+/// What the owner of a warm-up alone may send: the capacity of level zero.
+int coldOwnerShare(const BackendGroup &group);
+
+/// The part of what the tier may send above that at \p level, divided between all seats.
+int coldSeatShare(const BackendGroup &group, int level, const ShareInputs &inputs, std::string_view serverId);
 
 } // namespace ragwort
 
--- a/include/ragwortcart/Runtime/ControlPlane.h
+++ b/include/ragwortcart/Runtime/ControlPlane.h
@@ -85,7 +85,7 @@
     void onEntries(const PlatformInstances &listed);
     void readSeats();
     void readSeatsThen(const std::function<void()> &next);
-    void onSeats(const KeyValues &values);
+    void onSeats(const KeyValues &values, Instant askedAt);
     void releaseSeat(int triesLeft, const std::function<void()> &done);
     void tryTakeSeat();
     bool followsStore() const;
--- a/include/ragwortcart/Wire/BackendClient.h
+++ b/include/ragwortcart/Wire/BackendClient.h
@@ -25,7 +25,12 @@
     std::optional<ServerReport> report;
 };
 
-using SubOutcome = std::variant<SubAnswer, SubFailureReport>;
+/// The request was cancelled and has ended.
+struct SubCancelled
+{
+};
+
+using SubOutcome = std::variant<SubAnswer, SubFailureReport, SubCancelled>;
 
 struct BackendClientCounts
 {
@@ -60,7 +65,7 @@
     BackendClient(const BackendClient &) = delete;
     BackendClient &operator=(const BackendClient &) = delete;
 
-    /// Sends a sub-request; \p completion runs once, unless the request is cancelled before.
+    /// Sends a sub-request; \p completion runs once. After a cancel it tells when the request has ended.
     /// \p connectionBound is this instance's present share of the server's connections.
     void send(const SubRequest &request, int connectionBound, Completion completion);
 
--- a/lib/Control/SeatKeeper.cpp
+++ b/lib/Control/SeatKeeper.cpp
@@ -2,8 +2,12 @@
 /// Choice and takeover of seats.
 #include "ragwortcart/Control/SeatKeeper.h"
 
+#include "ragwortcart/Support/Hash.h"
+
 #include <QJsonDocument>
 #include <QJsonObject>
+#include <algorithm>
+#include <utility>
 
 namespace ragwort {
 
@@ -35,7 +39,7 @@
 {
 }
 
-void SeatKeeper::noteTable(const SeatTable &newTable, std::uint64_t index)
+void SeatKeeper::noteTable(const SeatTable &newTable, std::uint64_t index, Instant askedAt)
 {
     if (this->tableKnown && index < this->tableIndex) {
         // A stale read must not bring back a seat that has been given away.
@@ -44,12 +48,16 @@
     this->table = newTable;
     this->tableIndex = index;
     this->tableKnown = true;
-    this->ownSeat = -1;
+    this->tableAskedAt = std::max(this->tableAskedAt, askedAt);
+    const int before = std::exchange(this->ownSeat, -1);
     for (const auto &[seat, holder] : this->table) {
         if (holder == this->instance) {
             this->ownSeat = seat;
         }
     }
+    if (this->ownSeat != before) {
+        this->seatedAt = askedAt;
+    }
 }
 
 void SeatKeeper::noteLiveInstances(const std::set<std::string> &live, Instant now)
@@ -108,13 +116,26 @@
     return SeatWrite{.value = encodeSeats(next), .expectedIndex = this->tableIndex};
 }
 
-std::vector<std::string> SeatKeeper::holders() const
+Instant SeatKeeper::ownsWarmUpUntil(std::string_view serverId, int seats, Instant now) const
 {
-    std::vector<std::string> names;
-    for (const auto &[seat, holder] : this->table) {
-        names.push_back(holder);
+    const bool settled = this->ownSeat >= 0 && this->ownSeat < seats && now - this->seatedAt >= SEAT_SETTLE_TIME;
+    if (!settled) {
+        return Instant{};
+    }
+    const int first = static_cast<int>(stableHash(serverId) % static_cast<std::uint64_t>(seats));
+    if (first == this->ownSeat) {
+        return Instant::max();
+    }
+    for (int step = 0; step < seats; ++step) {
+        const int seat = (first + step) % seats;
+        if (seat == this->ownSeat) {
+            return this->tableAskedAt + SEAT_TABLE_LIFETIME;
+        }
+        if (this->table.contains(seat)) {
+            return Instant{};
+        }
     }
-    return names;
+    return Instant{};
 }
 
 } // namespace ragwort
--- a/lib/Control/ServerDirectory.cpp
+++ b/lib/Control/ServerDirectory.cpp
@@ -62,21 +62,6 @@
     return changed;
 }
 
-bool ServerDirectory::setSeat(int number, int count)
-{
-    const bool changed = this->shares.seat != number || this->shares.seats != count;
-    this->shares.seat = number;
-    this->shares.seats = count;
-    return changed;
-}
-
-bool ServerDirectory::setSeatHolders(std::vector<std::string> holders)
-{
-    const bool changed = holders != this->seatHolders;
-    this->seatHolders = std::move(holders);
-    return changed;
-}
-
 bool ServerDirectory::setCrossDomainAllowed(bool allowed)
 {
     const bool changed = allowed != this->crossDomainAllowed;
@@ -108,6 +93,7 @@
     server.reportedLoad.store(status.report.load, std::memory_order_relaxed);
     const std::uint64_t before = server.incarnation.exchange(status.report.incarnation);
     const bool restarted = before != 0 && before != status.report.incarnation;
+    server.coldSuspected.store(false, std::memory_order_release);
     if (restarted || (status.report.cold && !server.cold.load())) {
         server.warmUpLevel.store(0);
         server.warmUpAnswers.store(0);
@@ -123,14 +109,6 @@
     return found == this->records.end() ? nullptr : found->second;
 }
 
-std::string ServerDirectory::coldOwner(std::string_view serverId) const
-{
-    if (this->seatHolders.empty()) {
-        return {};
-    }
-    return this->seatHolders[rendezvousWinner(serverId, this->seatHolders)];
-}
-
 std::vector<std::shared_ptr<ServerRecord>> ServerDirectory::serversToPoll() const
 {
     std::vector<std::string> everywhere;
@@ -192,11 +170,11 @@
     }
 }
 
-std::shared_ptr<const Topology> ServerDirectory::build()
+std::shared_ptr<const Topology> ServerDirectory::build(const SeatKeeper &seats, Instant now)
 {
     auto topology = std::make_shared<Topology>();
     topology->version = ++this->version;
-    topology->shares = this->shares;
+    topology->shares = {.seat = seats.seat(), .seats = this->configuration->tier.maximumInstances};
     const auto live = std::count_if(this->listedEntries.begin(), this->listedEntries.end(), [](const ListedEntry &entry) { return !entry.leaving; });
     topology->liveInstances = std::max(1, static_cast<int>(live));
     for (const ListedServer &listed : this->listedServers) {
@@ -207,8 +185,8 @@
         if (settings == nullptr) {
             continue;
         }
-        const bool owner = this->coldOwner(listed.identity.id) == this->instance;
-        updateShares(*record, *settings, this->shares.forServer(owner));
+        const Instant ownerUntil = seats.ownsWarmUpUntil(listed.identity.id, topology->shares.seats, now);
+        updateShares(*record, *settings, topology->shares.forServer(ownerUntil));
         GroupTopology &group = topology->groups[groupKey(listed.identity.team, listed.identity.group)];
         group.team = listed.identity.team;
         group.group = listed.identity.group;
--- a/lib/Kernel/AttemptSteps.cpp
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -30,7 +30,7 @@
         usable = std::move(ejected);
     }
     anyUsable = !usable.empty();
-    std::erase_if(usable, [](const ServerPointer &server) { return !server->hasPermit(); });
+    std::erase_if(usable, [now](const ServerPointer &server) { return !server->hasPermit(now); });
     return usable;
 }
 
@@ -98,7 +98,7 @@
 
 bool QueryEngine::sendAttempt(ActiveQuery &query, std::size_t partIndex, const ServerPointer &server, bool hedge, Instant now)
 {
-    if (!server->tryAcquire()) {
+    if (!server->tryAcquire(now)) {
         return false;
     }
     QueryPart &part = query.parts[partIndex];
@@ -170,13 +170,33 @@
     attempt.server->release();
 }
 
+void QueryEngine::cancelAttempt(QueryId query, PartAttempt &attempt)
+{
+    assert(attempt.open && "an attempt is closed once");
+    attempt.open = false;
+    this->timers.cancel(attempt.timeout);
+    // The server may still be at work: the permit is given back when the request has ended there.
+    this->cancelling.emplace(std::pair(query, attempt.id), attempt.server);
+    this->actions.emplace_back(CancelSubRequest{.query = query, .attempt = attempt.id, .serverId = attempt.server->identity.id});
+}
+
+void QueryEngine::onSubEnded(const SubEnded &event, Instant now)
+{
+    const auto found = this->cancelling.find({event.query, event.attempt});
+    if (found == this->cancelling.end()) {
+        return;
+    }
+    found->second->release();
+    this->cancelling.erase(found);
+    this->dispatchWaiting(now);
+}
+
 void QueryEngine::cancelOpenAttempts(ActiveQuery &query, QueryPart &part)
 {
     this->timers.cancel(part.hedgeTimer);
     for (PartAttempt &attempt : part.attempts) {
         if (attempt.open) {
-            this->closeAttempt(attempt);
-            this->actions.emplace_back(CancelSubRequest{.query = query.request.id, .attempt = attempt.id, .serverId = attempt.server->identity.id});
+            this->cancelAttempt(query.request.id, attempt);
         }
     }
 }
@@ -267,10 +287,11 @@
     if (!found) {
         return;
     }
-    const std::string server = query->parts[found->part].attempts[found->attempt].server->identity.id;
-    this->report(Reason::attemptTimedOut, id, server);
-    this->actions.emplace_back(CancelSubRequest{.query = id, .attempt = attempt, .serverId = server});
-    this->onSubFailed({.query = id, .attempt = attempt, .failure = SubFailure::timeout, .report = std::nullopt}, now);
+    PartAttempt &silent = query->parts[found->part].attempts[found->attempt];
+    const ServerPointer server = silent.server;
+    this->report(Reason::attemptTimedOut, id, server->identity.id);
+    this->cancelAttempt(id, silent);
+    this->settleFailure(*query, found->part, server, {.query = id, .attempt = attempt, .failure = SubFailure::timeout, .report = std::nullopt}, now);
 }
 
 void QueryEngine::onSubFailed(const SubFailed &event, Instant now)
@@ -280,33 +301,38 @@
     if (!found) {
         return;
     }
-    QueryPart &part = query->parts[found->part];
-    PartAttempt &attempt = part.attempts[found->attempt];
+    PartAttempt &attempt = query->parts[found->part].attempts[found->attempt];
     const ServerPointer server = attempt.server;
     this->closeAttempt(attempt);
+    this->settleFailure(*query, found->part, server, event, now);
+}
+
+void QueryEngine::settleFailure(ActiveQuery &query, std::size_t partIndex, const ServerPointer &server, const SubFailed &event, Instant now)
+{
+    QueryPart &part = query.parts[partIndex];
     if (event.report) {
         this->applyReport(*server, *event.report);
     }
-    this->recordFailure(*query, *server, event.failure, now);
+    this->recordFailure(query, *server, event.failure, now);
     const bool serverUnharmed = provesNotRun(event.failure) || event.failure == SubFailure::closed;
-    if (query->canaryPending && serverUnharmed) {
-        --query->canaryExposure;
+    if (query.canaryPending && serverUnharmed) {
+        --query.canaryExposure;
     }
     part.snapshotGone = event.failure == SubFailure::snapshotGone;
-    if (!query->kind->repeatable) {
+    if (!query.kind->repeatable) {
         if (event.failure == SubFailure::connectFailed) {
             // No byte has left, so that another server may be asked.
-            this->sendAction(*query, now);
+            this->sendAction(query, now);
             return;
         }
         const bool notRun = provesNotRun(event.failure);
-        this->finishAction(*query, notRun ? RunState::notRun : RunState::outcomeUnknown, notRun ? Reason::noReplica : Reason::unknownOutcome, {}, now);
+        this->finishAction(query, notRun ? RunState::notRun : RunState::outcomeUnknown, notRun ? Reason::noReplica : Reason::unknownOutcome, {}, now);
         return;
     }
-    if (event.failure == SubFailure::lost && query->canaryPending) {
+    if (event.failure == SubFailure::lost && query.canaryPending) {
         // Only unknown content is accused: content that was answered before does not crash every server that runs it.
         this->report(Reason::contentAccused, event.query, server->identity.id);
-        this->actions.emplace_back(AccuseContent{.query = event.query, .fingerprint = query->request.fingerprint, .serverId = server->identity.id});
+        this->actions.emplace_back(AccuseContent{.query = event.query, .fingerprint = query.request.fingerprint, .serverId = server->identity.id});
         part.state = PartState::accusing;
         this->timers.cancel(part.hedgeTimer);
         return;
@@ -314,7 +340,7 @@
     if (part.hasOpenAttempt()) {
         return;
     }
-    this->retryOrGiveUp(*query, found->part, event.failure, now);
+    this->retryOrGiveUp(query, partIndex, event.failure, now);
     this->dispatchWaiting(now);
 }
 
--- a/lib/Kernel/QueryEngine.cpp
+++ b/lib/Kernel/QueryEngine.cpp
@@ -59,6 +59,7 @@
                        [&](const CallerGone &gone) { this->onCallerGone(gone, now); },
                        [&](const SubAnswered &answered) { this->onSubAnswered(answered, now); },
                        [&](const SubFailed &failed) { this->onSubFailed(failed, now); },
+                       [&](const SubEnded &ended) { this->onSubEnded(ended, now); },
                        [&](const ClaimDecided &decided) { this->onClaimDecided(decided, now); },
                        [&](const AccusationSpread &spread) { this->onAccusationSpread(spread, now); },
                        [&](const DrainRequested &) { this->draining = true; }},
@@ -119,6 +120,7 @@
 {
     this->report(reason, request.id);
     Answer answer{.query = request.id, .state = RunState::notRun, .reason = std::string(toString(reason)), .retryAfter = retryAfter};
+    answer.coverage.missing.push_back({.begin = 0, .end = KEY_SPACE_END});
     this->actions.emplace_back(ReplyToCaller{.answer = std::move(answer)});
 }
 
--- a/lib/Kernel/ServerHealth.cpp
+++ b/lib/Kernel/ServerHealth.cpp
@@ -17,6 +17,11 @@
 static constexpr int WARM_UP_ANSWERS = 8;
 static constexpr int WARM_UP_ANSWERS_WHILE_REPORTED_COLD = 64;
 
+static Instant ownerUntil(const ServerRecord &server)
+{
+    return Instant(Duration(server.coldOwnerUntilUs.load(std::memory_order_acquire)));
+}
+
 void QueryEngine::applyReport(ServerRecord &server, const ServerReport &report)
 {
     server.reportedLoad.store(report.load, std::memory_order_relaxed);
@@ -26,6 +31,7 @@
     }
     const std::uint64_t before = server.incarnation.exchange(report.incarnation);
     const bool restarted = before != 0 && before != report.incarnation;
+    server.coldSuspected.store(false, std::memory_order_release);
     if (!restarted && !(report.cold && !server.cold.load())) {
         return;
     }
@@ -37,12 +43,21 @@
     }
 }
 
+void QueryEngine::suspectCold(ServerRecord &server, const BackendGroup &group)
+{
+    if (server.cold.load() || server.coldSuspected.exchange(true)) {
+        return;
+    }
+    server.warmUpLevel.store(0);
+    updateShares(server, group, this->topology.get()->shares.forServer(ownerUntil(server)));
+}
+
 void QueryEngine::markCold(ServerRecord &server, const BackendGroup &group)
 {
     server.warmUpLevel.store(0);
     server.warmUpAnswers.store(0);
     server.consecutiveSlow.store(0);
-    updateShares(server, group, this->topology.get()->shares.forServer(server.coldOwner.load()));
+    updateShares(server, group, this->topology.get()->shares.forServer(ownerUntil(server)));
     server.cold.store(true, std::memory_order_release);
     this->report(Reason::serverCold, 0, server.identity.id);
     this->actions.emplace_back(AnnounceWarmUp{.serverId = server.identity.id, .incarnation = server.incarnation.load(), .level = 0, .cold = true});
@@ -66,7 +81,7 @@
         }
         return;
     }
-    if (slow || !server.coldOwner.load()) {
+    if (slow || !server.ownsWarmUp(now)) {
         return;
     }
     const int needed = reportedCold ? WARM_UP_ANSWERS_WHILE_REPORTED_COLD : WARM_UP_ANSWERS;
@@ -75,7 +90,7 @@
     }
     server.warmUpAnswers.store(0);
     const int level = server.warmUpLevel.fetch_add(1) + 1;
-    updateShares(server, *query.group, this->topology.get()->shares.forServer(true));
+    updateShares(server, *query.group, this->topology.get()->shares.forServer(ownerUntil(server)));
     const bool warm = (static_cast<std::int64_t>(query.group->coldCapacity) << level) >= query.group->connections;
     if (warm) {
         server.cold.store(false, std::memory_order_release);
@@ -96,6 +111,8 @@
         return;
     case SubFailure::connectFailed:
     case SubFailure::lost:
+        this->suspectCold(server, *query.group);
+        break;
     case SubFailure::closed:
     case SubFailure::timeout:
     case SubFailure::protocol:
--- a/lib/Kernel/ServerRecord.cpp
+++ b/lib/Kernel/ServerRecord.cpp
@@ -19,19 +19,20 @@
     this->barriers.fetch_and(~static_cast<std::uint32_t>(barrier), std::memory_order_acq_rel);
 }
 
-int ServerRecord::limit() const
+int ServerRecord::limit(Instant now) const
 {
     const int warm = this->warmShare.load(std::memory_order_relaxed);
-    if (!this->cold.load(std::memory_order_acquire)) {
+    if (!this->cold.load(std::memory_order_acquire) && !this->coldSuspected.load(std::memory_order_acquire)) {
         return warm;
     }
-    return std::min(warm, this->coldShare.load(std::memory_order_relaxed));
+    const int owned = this->ownsWarmUp(now) ? this->coldOwnerShare.load(std::memory_order_relaxed) : 0;
+    return std::min(warm, owned + this->coldShare.load(std::memory_order_relaxed));
 }
 
-bool ServerRecord::tryAcquire()
+bool ServerRecord::tryAcquire(Instant now)
 {
     int current = this->inFlight.load(std::memory_order_relaxed);
-    while (current < this->limit()) {
+    while (current < this->limit(now)) {
         if (this->inFlight.compare_exchange_weak(current, current + 1, std::memory_order_acq_rel)) {
             this->sent.fetch_add(1, std::memory_order_relaxed);
             return true;
--- a/lib/Kernel/Shares.cpp
+++ b/lib/Kernel/Shares.cpp
@@ -21,19 +21,25 @@
     return limit / seats + (position < limit % seats ? 1 : 0);
 }
 
-int coldShareAtLevel(const BackendGroup &group, int level, const ShareInputs &inputs, std::string_view serverId)
+int coldOwnerShare(const BackendGroup &group)
+{
+    return std::min(group.coldCapacity, group.connections);
+}
+
+int coldSeatShare(const BackendGroup &group, int level, const ShareInputs &inputs, std::string_view serverId)
 {
     const int clamped = std::clamp(level, 0, MAXIMUM_WARM_UP_LEVEL);
     const int atLevel = std::min(group.coldCapacity << clamped, group.connections);
-    const int own = inputs.coldOwner && inputs.seat >= 0 ? std::min(group.coldCapacity, group.connections) : 0;
-    return own + shareOfSeat(atLevel - group.coldCapacity, inputs.seat, inputs.seats, serverId);
+    return shareOfSeat(atLevel - group.coldCapacity, inputs.seat, inputs.seats, serverId);
 }
 
 void updateShares(ServerRecord &record, const BackendGroup &group, const ShareInputs &inputs)
 {
+    const bool seated = inputs.seat >= 0;
     record.warmShare.store(shareOfSeat(group.connections, inputs.seat, inputs.seats, record.identity.id));
-    record.coldOwner.store(inputs.coldOwner && inputs.seat >= 0);
-    record.coldShare.store(coldShareAtLevel(group, record.warmUpLevel.load(), inputs, record.identity.id));
+    record.coldShare.store(coldSeatShare(group, record.warmUpLevel.load(), inputs, record.identity.id));
+    record.coldOwnerShare.store(coldOwnerShare(group));
+    record.coldOwnerUntilUs.store(seated ? inputs.coldOwnerUntil.time_since_epoch().count() : 0, std::memory_order_release);
 }
 
 } // namespace ragwort
--- a/lib/Runtime/ControlDump.cpp
+++ b/lib/Runtime/ControlDump.cpp
@@ -14,7 +14,7 @@
             {"share", record.warmShare.load()},
             {"cold", record.cold.load()},
             {"cold_share", record.coldShare.load()},
-            {"cold_owner", record.coldOwner.load()},
+            {"cold_owner", record.ownsWarmUp(now)},
             {"warm_up_level", record.warmUpLevel.load()},
             {"latency_us", static_cast<qint64>(record.latencyUs.load())},
             {"ejected", record.isEjected(now)},
--- a/lib/Runtime/ControlPlane.cpp
+++ b/lib/Runtime/ControlPlane.cpp
@@ -123,9 +123,7 @@
 
 void ControlPlane::rebuild()
 {
-    this->directory.setSeat(this->seats.seat(), this->keeper.current()->tier.maximumInstances);
-    this->directory.setSeatHolders(this->seats.holders());
-    this->options.topology.publish(this->directory.build());
+    this->options.topology.publish(this->directory.build(this->seats, steadyNow()));
     this->updateReadiness();
 }
 
@@ -161,7 +159,7 @@
     this->pollServers();
     this->exchange.advance(now);
     this->performPeerActions();
-    static constexpr std::uint64_t TICKS_PER_SEAT_READ = 20;
+    static constexpr std::uint64_t TICKS_PER_SEAT_READ = 10;
     if (++this->tickCount % TICKS_PER_SEAT_READ == 0 || this->seats.seat() < 0) {
         this->readSeats();
     }
--- a/lib/Runtime/ControlPlatform.cpp
+++ b/lib/Runtime/ControlPlatform.cpp
@@ -141,15 +141,16 @@
 
 void ControlPlane::readSeatsThen(const std::function<void()> &next)
 {
-    this->platform.read(std::string(SEATS_KEY), false, {.index = std::nullopt}, [this, next](const Result<KeyValues> &values) {
+    const Instant askedAt = steadyNow();
+    this->platform.read(std::string(SEATS_KEY), false, {.index = std::nullopt}, [this, askedAt, next](const Result<KeyValues> &values) {
         if (values) {
-            this->onSeats(*values);
+            this->onSeats(*values, askedAt);
         }
         next();
     });
 }
 
-void ControlPlane::onSeats(const KeyValues &values)
+void ControlPlane::onSeats(const KeyValues &values, Instant askedAt)
 {
     const bool absent = values.entries.empty();
     const std::optional<SeatTable> table = absent ? SeatTable() : decodeSeats(values.entries.front().value.toStdString());
@@ -158,7 +159,7 @@
         return;
     }
     const int before = this->seats.seat();
-    this->seats.noteTable(*table, absent ? 0 : values.entries.front().modifyIndex);
+    this->seats.noteTable(*table, absent ? 0 : values.entries.front().modifyIndex, askedAt);
     if (this->seats.seat() != before) {
         logEvent(LogLevel::info, "seat", {{.key = "number", .value = std::to_string(this->seats.seat())}});
     }
--- a/lib/Runtime/Worker.cpp
+++ b/lib/Runtime/Worker.cpp
@@ -211,6 +211,10 @@
                 this->postEvent(SubAnswered{.query = query, .attempt = attempt, .answer = std::move(*answer)});
                 return;
             }
+            if (std::holds_alternative<SubCancelled>(outcome)) {
+                this->postEvent(SubEnded{.query = query, .attempt = attempt});
+                return;
+            }
             const auto &failure = std::get<SubFailureReport>(outcome);
             this->postEvent(SubFailed{.query = query, .attempt = attempt, .failure = failure.failure, .report = failure.report});
         });
--- a/lib/Wire/BackendClient.cpp
+++ b/lib/Wire/BackendClient.cpp
@@ -141,7 +141,6 @@
     {
         ++this->core.counts.abandoned;
         this->abandoned = true;
-        this->current.completion = nullptr;
         if (!this->requestSent) {
             this->close();
             return;
@@ -176,6 +175,9 @@
         ErrorCode ignored;
         this->socket.close(ignored);
         this->core.remove(this->shared_from_this());
+        if (this->abandoned && this->current.completion) {
+            std::exchange(this->current.completion, nullptr)(SubCancelled{});
+        }
     }
 
     ServerPool &serverPool()
@@ -246,7 +248,7 @@
     {
         const auto &message = this->parser->get();
         const bool reusable = message.keep_alive() && this->buffer.size() == 0;
-        std::optional<SubOutcome> outcome;
+        SubOutcome outcome = SubCancelled{};
         if (!this->abandoned) {
             outcome = this->interpret(message.result_int(), message.body());
         }
@@ -258,8 +260,8 @@
         } else {
             this->close();
         }
-        if (completion && outcome) {
-            completion(std::move(*outcome));
+        if (completion) {
+            completion(std::move(outcome));
         }
     }
 
@@ -293,7 +295,7 @@
         this->core.running.erase(this->current.key);
         this->close();
         if (completion) {
-            completion(SubFailureReport{.failure = failure, .report = std::nullopt});
+            completion(this->abandoned ? SubOutcome(SubCancelled{}) : SubOutcome(SubFailureReport{.failure = failure, .report = std::nullopt}));
         }
     }
 
@@ -305,9 +307,14 @@
         ServerPool &serverPool = this->pool;
         BackendClient::Core &owner = this->core;
         this->close();
-        if (broken.completion) {
-            owner.probe(serverPool, std::move(broken));
+        if (!broken.completion) {
+            return;
+        }
+        if (this->abandoned) {
+            broken.completion(SubCancelled{});
+            return;
         }
+        owner.probe(serverPool, std::move(broken));
     }
 
     BackendClient::Core &core;
@@ -501,7 +508,9 @@
     for (const auto &[address, pool] : this->pools) {
         const auto waiting = std::find_if(pool->waiting.begin(), pool->waiting.end(), [&key](const PendingRequest &request) { return request.key == key; });
         if (waiting != pool->waiting.end()) {
+            const Completion completion = std::move(waiting->completion);
             pool->waiting.erase(waiting);
+            completion(SubCancelled{});
             return;
         }
     }
--- a/unittests/Control/PeerExchangeTest.cpp
+++ b/unittests/Control/PeerExchangeTest.cpp
@@ -120,10 +120,7 @@
 class PeerExchangeTest : public ::testing::Test
 {
 protected:
-    PeerExchangeTest()
-        : a(this->net.add("a", "da"))
-        , b(this->net.add("b", "db"))
-        , c(this->net.add("c", "dc"))
+    PeerExchangeTest() : a(this->net.add("a", "da")), b(this->net.add("b", "db")), c(this->net.add("c", "dc"))
     {
     }
 
@@ -181,9 +178,8 @@
     this->net.link("a", "b");
     this->net.link("b", "c");
     this->net.link("a", "c");
-    const ServerStatus status{.serverId = "s0",
-                              .report = {.incarnation = 1},
-                              .snapshots = {{.id = 1, .range = {.begin = 0, .end = 10}, .documents = 1, .totalDocuments = 1}}};
+    const ServerStatus status{
+        .serverId = "s0", .report = {.incarnation = 1}, .snapshots = {{.id = 1, .range = {.begin = 0, .end = 10}, .documents = 1, .totalDocuments = 1}}};
     const bool changed = this->a.directory.noteStatus(status, this->net.now);
     EXPECT_TRUE(changed);
     this->a.exchange.onOwnStatus(status, this->net.now, changed);
--- a/unittests/Kernel/EngineHarness.h
+++ b/unittests/Kernel/EngineHarness.h
@@ -139,11 +139,22 @@
             } else if (auto *decision = std::get_if<ReportDecision>(&action)) {
                 this->reasons.push_back(decision->reason);
             } else {
+                if (const auto *cancel = std::get_if<CancelSubRequest>(&action)) {
+                    this->cancelled.push_back(*cancel);
+                }
                 this->others.push_back(std::move(action));
             }
         }
     }
 
+    /// Cancelled requests end at their servers.
+    void endCancelled()
+    {
+        for (const CancelSubRequest &cancel : std::exchange(this->cancelled, {})) {
+            this->handle(SubEnded{.query = cancel.query, .attempt = cancel.attempt});
+        }
+    }
+
     /// The answer that a sound server gives to \p request.
     static SubAnswer answerTo(const SubRequest &request)
     {
@@ -209,6 +220,7 @@
     std::vector<Answer> replies;
     std::vector<Reason> reasons;
     std::vector<KernelAction> others;
+    std::vector<CancelSubRequest> cancelled;
     Instant now{std::chrono::seconds(1000)};
     std::uint64_t version = 0;
     QueryId lastQuery = 0;
--- a/unittests/Wire/BackendClientTest.cpp
+++ b/unittests/Wire/BackendClientTest.cpp
@@ -171,21 +171,24 @@
 TEST_F(BackendClientTest, aCancelledRequestCompletesNothingAndMakesRoom)
 {
     std::atomic<int> done{0};
+    std::atomic<bool> ended{false};
     const SubRequest cancelled = this->request("hold");
-    this->thread.call([&] { this->client->send(cancelled, 1, [&done](const SubOutcome &) { done += 100; }); });
+    this->thread.call(
+        [&] { this->client->send(cancelled, 1, [&ended](const SubOutcome &outcome) { ended = std::holds_alternative<SubCancelled>(outcome); }); });
     ASSERT_TRUE(eventually([this] { return this->received == 1; }));
     this->thread.call([&] {
         this->client->cancel(cancelled.query, cancelled.attempt);
         this->client->send(this->request("x"), 1, [&done](const SubOutcome &) { ++done; });
     });
     ASSERT_TRUE(eventually([&done] { return done == 1; }));
+    EXPECT_TRUE(ended) << "the cancelled request must have ended before its connection's place is taken";
     EXPECT_EQ(this->client->counts().abandoned, 1U);
 }
 
 TEST_F(BackendClientTest, anAnswerSoonAfterTheCancelSavesTheConnection)
 {
     const SubRequest cancelled = this->request("hold");
-    this->thread.call([&] { this->client->send(cancelled, 2, [](const SubOutcome &) { FAIL() << "a cancelled request completed"; }); });
+    this->thread.call([&] { this->client->send(cancelled, 2, [](const SubOutcome &outcome) { EXPECT_TRUE(std::holds_alternative<SubCancelled>(outcome)); }); });
     ASSERT_TRUE(eventually([this] { return this->received == 1; }));
     this->thread.call([&] {
         this->client->cancel(cancelled.query, cancelled.attempt);
@@ -200,7 +203,7 @@
 {
     this->thread.call([&] {
         const SubRequest sub = this->request("x");
-        this->client->send(sub, 1, [](const SubOutcome &) { FAIL() << "a cancelled request completed"; });
+        this->client->send(sub, 1, [](const SubOutcome &outcome) { EXPECT_TRUE(std::holds_alternative<SubCancelled>(outcome)); });
         this->client->cancel(sub.query, sub.attempt);
     });
     this->exchange("x");
--- a/unittests/Wire/PeerLinksTest.cpp
+++ b/unittests/Wire/PeerLinksTest.cpp
@@ -1,5 +1,5 @@
-#include "LoopThread.h"
 #include "ragwortcart/Wire/PeerLinks.h"
+#include "LoopThread.h"
 
 #include <gtest/gtest.h>
 #include <memory>
@@ -13,8 +13,7 @@
 class LinkEnd
 {
 public:
-    LinkEnd(const std::string &name, int port)
-        : address("127.0.0.1:" + std::to_string(port))
+    LinkEnd(const std::string &name, int port) : address("127.0.0.1:" + std::to_string(port))
     {
         PeerLinks::Handlers handlers;
         handlers.onUp = [this](const std::string &peer) {
