--- a/include/ragwortcart/Control/Freshness.h
+++ b/include/ragwortcart/Control/Freshness.h
@@ -41,7 +41,13 @@
 
     /// Fresh, or else every other domain is heard from and none of them is fresh: then the store is out for all, and no
     /// change can have been accepted that any instance could know of.
-    bool mayCrossDomains(Instant now) const;
+    bool mayCrossDomains(Instant now) const
+    {
+        return now <= this->crossDomainsUntil();
+    }
+
+    /// Until when that holds if nothing more is heard.
+    Instant crossDomainsUntil() const;
 
 private:
     std::string domain;
--- a/include/ragwortcart/Control/PeerExchange.h
+++ b/include/ragwortcart/Control/PeerExchange.h
@@ -17,8 +17,9 @@
 namespace ragwort {
 
 inline constexpr Duration PEER_DIGEST_INTERVAL = std::chrono::milliseconds(500);
-/// All statuses that this instance polls itself are sent again this often, so that a lost change heals.
-inline constexpr Duration PEER_STATUS_REFRESH = std::chrono::seconds(2);
+/// All statuses that this instance polls itself are sent again this often, so that a lost change heals and servers count
+/// as seen.
+inline constexpr Duration PEER_STATUS_REFRESH = std::chrono::seconds(1);
 /// A content counts as accused everywhere when all linked peers have said so, or after this time.
 inline constexpr Duration ACCUSATION_WAIT = std::chrono::milliseconds(100);
 
@@ -48,6 +49,9 @@
     int accusedServers = 0;
 };
 
+/// A server whose status has not been renewed for this long is polled by every instance itself.
+inline constexpr Duration STATUS_STALE = std::chrono::milliseconds(1600);
+
 using PeerAction = std::variant<SendToPeer, OfferDocument, TopologyChanged, AccusationKnown>;
 
 class PeerExchange
@@ -103,7 +107,7 @@
     void handle(const std::string &peer, const PeerDigest &digest, Instant now);
     void handle(const std::string &peer, const PeerDocuments &documents, Instant now);
     void handle(const std::string &peer, const PeerStatuses &statuses, Instant now);
-    void handle(const std::string &peer, const PeerAccusation &accusation, Instant now);
+    void handle(const std::string &peer, const PeerAccusation &told, Instant now);
     void handle(const std::string &peer, const PeerAccusationAck &ack, Instant now);
     void handle(const std::string &peer, const PeerWarmUp &warmUp, Instant now);
     void send(const std::string &peer, PeerMessage message);
--- a/include/ragwortcart/Control/ServerDirectory.h
+++ b/include/ragwortcart/Control/ServerDirectory.h
@@ -50,6 +50,11 @@
     bool setEntries(std::vector<ListedEntry> listed);
     bool setConfiguration(std::shared_ptr<const Configuration> next);
     bool setCrossDomainAllowed(bool allowed);
+    /// Takes effect at once, also in topologies built before.
+    void setCrossDomainUntil(Instant until)
+    {
+        this->crossDomainUntilUs->store(until.time_since_epoch().count(), std::memory_order_release);
+    }
     /// Keeps the newer of two statuses; an older one than known is ignored.
     bool noteStatus(const ServerStatus &status, Instant observedAt);
 
@@ -82,6 +87,7 @@
     std::map<std::string, ObservedStatus> observed;
     std::shared_ptr<const Configuration> configuration = std::make_shared<const Configuration>();
     bool crossDomainAllowed = true;
+    std::shared_ptr<std::atomic<std::int64_t>> crossDomainUntilUs = std::make_shared<std::atomic<std::int64_t>>(INT64_MAX);
     std::uint64_t version = 0;
 };
 
--- a/include/ragwortcart/Kernel/QueryEngine.h
+++ b/include/ragwortcart/Kernel/QueryEngine.h
@@ -115,7 +115,7 @@
     // Attempts (AttemptSteps.cpp).
     void dispatch(ActiveQuery &query, std::size_t partIndex, Instant now);
     bool sendAttempt(ActiveQuery &query, std::size_t partIndex, const ServerPointer &server, bool hedge, Instant now);
-    std::vector<ServerPointer> candidates(const ActiveQuery &query, const QueryPart &part, Instant now, bool &anyUsable) const;
+    std::vector<ServerPointer> candidates(const ActiveQuery &query, const QueryPart &part, Instant now, bool &anyUsable);
     void armHedge(ActiveQuery &query, std::size_t partIndex, Instant now);
     void onHedgeDue(QueryId id, std::size_t partIndex, Instant now);
     void onAttemptTimeout(QueryId id, AttemptId attempt, Instant now);
@@ -133,7 +133,7 @@
     void waitForPermit(ActiveQuery &query, std::size_t partIndex, Instant now);
 
     // Servers' health (ServerHealth.cpp).
-    void applyReport(ServerRecord &server, const ServerReport &report);
+    void applyReport(ServerRecord &server, const ServerReport &report, Instant now);
     void recordGoodAnswer(ActiveQuery &query, ServerRecord &server, Duration latency, bool reportedCold, Instant now);
     void recordFailure(ActiveQuery &query, ServerRecord &server, SubFailure failure, Instant now);
     void suspectCold(ServerRecord &server, const BackendGroup &group);
--- a/include/ragwortcart/Kernel/ServerRecord.h
+++ b/include/ragwortcart/Kernel/ServerRecord.h
@@ -23,6 +23,9 @@
     std::string domain;
 };
 
+/// How long a server counts as unchanged after it was last seen.
+inline constexpr Duration CONFIRMATION_LIFETIME = std::chrono::milliseconds(2500);
+
 /// Live state of one backend server as seen from this instance.
 class ServerRecord
 {
@@ -60,7 +63,11 @@
         return this->inFlight.load(std::memory_order_relaxed) < this->limit(now);
     }
 
-    /// The limit in force: the warm share, or what the ramp allows during a cold start.
+    /// Notes that the server was seen with the known incarnation at \p when.
+    void confirm(Instant when);
+
+    /// The limit in force: the warm share, or what the ramp allows during a cold start. A server that nobody has seen for
+    /// `CONFIRMATION_LIFETIME` may have been restarted, and counts as cold.
     int limit(Instant now) const;
 
     /// Moving average of latency in microseconds; zero before the first answer.
@@ -82,6 +89,8 @@
     }
 
     std::atomic<std::uint32_t> barriers{0};
+    /// In another failure domain than this instance.
+    std::atomic<bool> foreign{false};
     std::atomic<int> inFlight{0};
     /// This instance's share of the server's connections; the shares of all instances sum to at most the server's limit.
     std::atomic<int> warmShare{0};
@@ -94,6 +103,8 @@
     /// The server was out of reach and may have been restarted: it is treated as cold until a report shows the incarnation
     /// that was known before.
     std::atomic<bool> coldSuspected{false};
+    /// Microseconds on the monotonic axis at which an answer or a report last showed the incarnation; zero before the first.
+    std::atomic<std::int64_t> confirmedAtUs{0};
     /// Steps of the warm-up done; each doubles what the tier as a whole may send.
     std::atomic<int> warmUpLevel{0};
     /// Good answers at the present level.
--- a/include/ragwortcart/Kernel/Topology.h
+++ b/include/ragwortcart/Kernel/Topology.h
@@ -8,6 +8,7 @@
 #include "ragwortcart/Model/KeyRange.h"
 #include "ragwortcart/Model/Query.h"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -74,6 +75,14 @@
     /// Live entry instances, this one included; admission divides the servers' slots by it.
     int liveInstances = 1;
     ShareInputs shares;
+    /// Until when work may go to other failure domains, in microseconds on the monotonic axis. Looked at with each send, so
+    /// that an instance that was paused does not act on what it knew before. Absent: without bound.
+    std::shared_ptr<const std::atomic<std::int64_t>> crossDomainUntilUs;
+
+    bool mayCrossDomains(Instant now) const
+    {
+        return !this->crossDomainUntilUs || now.time_since_epoch().count() <= this->crossDomainUntilUs->load(std::memory_order_acquire);
+    }
 
     const GroupTopology *findGroup(std::string_view team, std::string_view group) const;
 };
--- a/include/ragwortcart/Runtime/ControlPlane.h
+++ b/include/ragwortcart/Runtime/ControlPlane.h
@@ -128,7 +128,6 @@
     bool rebuildScheduled = false;
     Instant nextPoll{};
     std::uint64_t tickCount = 0;
-    std::uint64_t pollCount = 0;
     std::atomic<bool> isReady{false};
 };
 
--- a/lib/Control/Freshness.cpp
+++ b/lib/Control/Freshness.cpp
@@ -34,18 +34,18 @@
     return this->everFresh ? now - this->currentAt : Duration::max();
 }
 
-bool Freshness::mayCrossDomains(Instant now) const
+Instant Freshness::crossDomainsUntil() const
 {
-    if (this->isFresh(now)) {
-        return true;
-    }
-    return std::all_of(this->domains.begin(), this->domains.end(), [this, now](const std::string &other) {
+    const Instant freshUntil = this->everFresh ? this->currentAt + FRESHNESS_LIMIT : Instant{};
+    Instant allHeardUntil = Instant::max();
+    for (const std::string &other : this->domains) {
         if (other == this->domain) {
-            return true;
+            continue;
         }
         const auto heard = this->heardFrom.find(other);
-        return heard != this->heardFrom.end() && now - heard->second <= DOMAIN_SILENCE_LIMIT;
-    });
+        allHeardUntil = std::min(allHeardUntil, heard == this->heardFrom.end() ? Instant{} : heard->second + DOMAIN_SILENCE_LIMIT);
+    }
+    return std::max(freshUntil, allHeardUntil);
 }
 
 } // namespace ragwort
--- a/lib/Control/PeerExchange.cpp
+++ b/lib/Control/PeerExchange.cpp
@@ -81,12 +81,12 @@
 
 void PeerExchange::handle(const std::string &peer, const PeerDigest &digest, Instant now)
 {
+    // A peer that holds more than we do counts as heard only once its documents have arrived: until then its knowledge
+    // would let us act on our own, which is older.
     const auto domain = this->domainOf.find(peer);
-    if (domain != this->domainOf.end()) {
-        // A peer's knowledge is current for us only if we hold all that it holds.
-        const bool behind = this->options.keeper.lacksAny(digest.sequences);
-        const bool known = digest.configurationAgeUs >= 0 && !behind;
-        this->options.freshness.notePeer(domain->second, known ? Duration(digest.configurationAgeUs) : Duration::max(), now);
+    if (domain != this->domainOf.end() && !this->options.keeper.lacksAny(digest.sequences)) {
+        const Duration age = digest.configurationAgeUs >= 0 ? Duration(digest.configurationAgeUs) : Duration::max();
+        this->options.freshness.notePeer(domain->second, age, now);
     }
     const std::vector<ConfigurationDocument> newer = this->options.keeper.newerThan(digest.sequences);
     if (!newer.empty()) {
--- a/lib/Control/ServerDirectory.cpp
+++ b/lib/Control/ServerDirectory.cpp
@@ -94,6 +94,7 @@
     const std::uint64_t before = server.incarnation.exchange(status.report.incarnation);
     const bool restarted = before != 0 && before != status.report.incarnation;
     server.coldSuspected.store(false, std::memory_order_release);
+    server.confirm(observedAt);
     if (restarted || (status.report.cold && !server.cold.load())) {
         server.warmUpLevel.store(0);
         server.warmUpAnswers.store(0);
@@ -133,6 +134,7 @@
 void ServerDirectory::applyBarriers(ServerRecord &record, const ListedServer &listed) const
 {
     const TierConfiguration &tier = this->configuration->tier;
+    record.foreign.store(record.identity.domain != this->domain, std::memory_order_relaxed);
     record.setBarrier(ServerRecord::leaving, listed.leaving);
     record.setBarrier(ServerRecord::domainOut, tier.domainsOut.contains(record.identity.domain));
     record.setBarrier(ServerRecord::instanceOut, tier.instancesOut.contains(record.identity.id));
@@ -174,6 +176,7 @@
 {
     auto topology = std::make_shared<Topology>();
     topology->version = ++this->version;
+    topology->crossDomainUntilUs = this->crossDomainUntilUs;
     topology->shares = {.seat = seats.seat(), .seats = this->configuration->tier.maximumInstances};
     const auto live = std::count_if(this->listedEntries.begin(), this->listedEntries.end(), [](const ListedEntry &entry) { return !entry.leaving; });
     topology->liveInstances = std::max(1, static_cast<int>(live));
--- a/lib/Emulator/FakePlatform.cpp
+++ b/lib/Emulator/FakePlatform.cpp
@@ -31,7 +31,7 @@
     : loop(eventLoop)
     , server(eventLoop,
              {.address = address, .maximumBodyBytes = STORE_MAXIMUM_VALUE_BYTES + 1024, .maximumConnections = 5000, .maximumConnectionsPerAddress = 5000},
-             [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) { this->handle(std::move(request), std::move(exchange)); })
+             [this](HttpRequest request, const std::shared_ptr<HttpExchange> &exchange) { this->handle(std::move(request), exchange); })
 {
     for (const PlannedServer &planned : plan.servers) {
         this->instances.push_back({.service = "ragwort-backend",
--- a/lib/Kernel/AttemptSteps.cpp
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -11,7 +11,7 @@
 static constexpr int ATTEMPT_TIME_PERCENT = 50;
 static constexpr Duration PERMIT_CHECK_INTERVAL = std::chrono::milliseconds(1);
 
-std::vector<ServerPointer> QueryEngine::candidates(const ActiveQuery &query, const QueryPart &part, Instant now, bool &anyUsable) const
+std::vector<ServerPointer> QueryEngine::candidates(const ActiveQuery &query, const QueryPart &part, Instant now, bool &anyUsable)
 {
     (void)query;
     const auto tried = [&part](const ServerPointer &server) {
@@ -19,8 +19,10 @@
     };
     std::vector<ServerPointer> usable;
     std::vector<ServerPointer> ejected;
+    const bool crossDomains = this->topology.get()->mayCrossDomains(now);
     for (const ServerPointer &server : part.replicas) {
-        if (server->hasBarrier() || tried(server)) {
+        const bool outOfBounds = server->foreign.load(std::memory_order_relaxed) && !crossDomains;
+        if (server->hasBarrier() || outOfBounds || tried(server)) {
             continue;
         }
         (server->isEjected(now) ? ejected : usable).push_back(server);
@@ -243,7 +245,7 @@
     }
     const Duration latency = now - attempt.sentAt;
     this->closeAttempt(attempt);
-    this->applyReport(*server, event.answer.report);
+    this->applyReport(*server, event.answer.report, now);
     this->recordGoodAnswer(*query, *server, latency, event.answer.report.cold, now);
     if (action) {
         const std::string outcome = event.answer.results.empty() ? std::string() : event.answer.results.front().text;
@@ -311,7 +313,7 @@
 {
     QueryPart &part = query.parts[partIndex];
     if (event.report) {
-        this->applyReport(*server, *event.report);
+        this->applyReport(*server, *event.report, now);
     }
     this->recordFailure(query, *server, event.failure, now);
     const bool serverUnharmed = provesNotRun(event.failure) || event.failure == SubFailure::closed;
--- a/lib/Kernel/ServerHealth.cpp
+++ b/lib/Kernel/ServerHealth.cpp
@@ -22,7 +22,7 @@
     return Instant(Duration(server.coldOwnerUntilUs.load(std::memory_order_acquire)));
 }
 
-void QueryEngine::applyReport(ServerRecord &server, const ServerReport &report)
+void QueryEngine::applyReport(ServerRecord &server, const ServerReport &report, Instant now)
 {
     server.reportedLoad.store(report.load, std::memory_order_relaxed);
     server.setBarrier(ServerRecord::draining, report.draining);
@@ -32,6 +32,7 @@
     const std::uint64_t before = server.incarnation.exchange(report.incarnation);
     const bool restarted = before != 0 && before != report.incarnation;
     server.coldSuspected.store(false, std::memory_order_release);
+    server.confirm(now);
     if (!restarted && !(report.cold && !server.cold.load())) {
         return;
     }
--- a/lib/Kernel/ServerRecord.cpp
+++ b/lib/Kernel/ServerRecord.cpp
@@ -22,13 +22,22 @@
 int ServerRecord::limit(Instant now) const
 {
     const int warm = this->warmShare.load(std::memory_order_relaxed);
-    if (!this->cold.load(std::memory_order_acquire) && !this->coldSuspected.load(std::memory_order_acquire)) {
+    const std::int64_t confirmed = this->confirmedAtUs.load(std::memory_order_relaxed);
+    const bool unseen = confirmed != 0 && now - Instant(Duration(confirmed)) > CONFIRMATION_LIFETIME;
+    if (!unseen && !this->cold.load(std::memory_order_acquire) && !this->coldSuspected.load(std::memory_order_acquire)) {
         return warm;
     }
     const int owned = this->ownsWarmUp(now) ? this->coldOwnerShare.load(std::memory_order_relaxed) : 0;
     return std::min(warm, owned + this->coldShare.load(std::memory_order_relaxed));
 }
 
+void ServerRecord::confirm(Instant when)
+{
+    const std::int64_t sample = when.time_since_epoch().count();
+    std::int64_t current = this->confirmedAtUs.load(std::memory_order_relaxed);
+    while (current < sample && !this->confirmedAtUs.compare_exchange_weak(current, sample, std::memory_order_relaxed)) { }
+}
+
 bool ServerRecord::tryAcquire(Instant now)
 {
     int current = this->inFlight.load(std::memory_order_relaxed);
--- a/lib/Runtime/ControlPlane.cpp
+++ b/lib/Runtime/ControlPlane.cpp
@@ -66,7 +66,6 @@
 
 void ControlPlane::pollServers()
 {
-    static constexpr std::uint64_t POLLS_PER_STALE_CHECK = 2;
     const Instant now = steadyNow();
     if (now < this->nextPoll || this->workers.empty()) {
         return;
@@ -75,9 +74,6 @@
     for (const std::shared_ptr<ServerRecord> &record : this->directory.serversToPoll()) {
         this->pollServer(*record);
     }
-    if (++this->pollCount % POLLS_PER_STALE_CHECK != 0) {
-        return;
-    }
     for (const auto &[id, record] : this->options.topology.load()->servers) {
         const auto observed = this->directory.statuses().find(id);
         if (observed == this->directory.statuses().end() || now - observed->second.observedAt > STATUS_STALE) {
@@ -149,6 +145,7 @@
 void ControlPlane::tick()
 {
     const Instant now = steadyNow();
+    this->directory.setCrossDomainUntil(this->freshness.crossDomainsUntil());
     if (this->directory.setCrossDomainAllowed(this->freshness.mayCrossDomains(now))) {
         logEvent(LogLevel::warning,
                  "cross-domain-work",
--- a/lib/Runtime/ControlTimers.h
+++ b/lib/Runtime/ControlTimers.h
@@ -12,8 +12,6 @@
 inline constexpr Duration TICK_INTERVAL = std::chrono::milliseconds(100);
 inline constexpr Duration STATUS_POLL_INTERVAL = std::chrono::milliseconds(500);
 inline constexpr Duration STATUS_TIMEOUT = std::chrono::milliseconds(400);
-/// A server whose status has not been renewed for this long is polled by every instance itself.
-inline constexpr Duration STATUS_STALE = std::chrono::seconds(5);
 inline constexpr Duration WATCH_RETRY_INTERVAL = std::chrono::milliseconds(250);
 /// A watch of the configuration ends after this time, so that its answer shows how fresh the configuration is.
 inline constexpr Duration CONFIGURATION_WATCH_TIME = std::chrono::milliseconds(800);
--- a/lib/Wire/PeerLinks.cpp
+++ b/lib/Wire/PeerLinks.cpp
@@ -53,20 +53,20 @@
         this->client.init_asio(&this->context);
         this->server.set_reuse_addr(true);
         this->client.set_open_handshake_timeout(OPEN_TIMEOUT_MS);
-        this->server.set_validate_handler([this](Handle handle) {
+        this->server.set_validate_handler([this](const Handle &handle) {
             const auto connection = this->server.get_con_from_hdl(handle);
             connection->append_header(INSTANCE_HEADER, this->options.instance);
             return !connection->get_request_header(INSTANCE_HEADER).empty();
         });
         this->server.set_open_handler(
-            [this](Handle handle) { this->up(this->server.get_con_from_hdl(handle)->get_request_header(INSTANCE_HEADER), handle, true); });
+            [this](const Handle &handle) { this->up(this->server.get_con_from_hdl(handle)->get_request_header(INSTANCE_HEADER), handle, true); });
         this->client.set_open_handler(
-            [this](Handle handle) { this->up(this->client.get_con_from_hdl(handle)->get_response_header(INSTANCE_HEADER), handle, false); });
-        this->server.set_close_handler([this](Handle handle) { this->down(handle); });
-        this->client.set_close_handler([this](Handle handle) { this->down(handle); });
-        this->client.set_fail_handler([this](Handle handle) { this->connecting.erase(handle); });
-        this->server.set_message_handler([this](Handle handle, Server::message_ptr message) { this->receive(handle, message->get_payload()); });
-        this->client.set_message_handler([this](Handle handle, Client::message_ptr message) { this->receive(handle, message->get_payload()); });
+            [this](const Handle &handle) { this->up(this->client.get_con_from_hdl(handle)->get_response_header(INSTANCE_HEADER), handle, false); });
+        this->server.set_close_handler([this](const Handle &handle) { this->down(handle); });
+        this->client.set_close_handler([this](const Handle &handle) { this->down(handle); });
+        this->client.set_fail_handler([this](const Handle &handle) { this->connecting.erase(handle); });
+        this->server.set_message_handler([this](const Handle &handle, const Server::message_ptr &message) { this->receive(handle, message->get_payload()); });
+        this->client.set_message_handler([this](const Handle &handle, const Client::message_ptr &message) { this->receive(handle, message->get_payload()); });
         const std::string fault = this->listen();
         if (fault.empty()) {
             this->check();
@@ -168,7 +168,7 @@
         }
     }
 
-    void up(const std::string &peer, Handle handle, bool accepted)
+    void up(const std::string &peer, const Handle &handle, bool accepted)
     {
         this->connecting.erase(handle);
         const auto before = this->links.find(peer);
@@ -189,7 +189,7 @@
         this->handlers.onUp(peer);
     }
 
-    void down(Handle handle)
+    void down(const Handle &handle)
     {
         this->connecting.erase(handle);
         const auto found = this->peers.find(handle);
@@ -202,7 +202,7 @@
         this->handlers.onDown(peer);
     }
 
-    void receive(Handle handle, const std::string &bytes)
+    void receive(const Handle &handle, const std::string &bytes)
     {
         const auto found = this->peers.find(handle);
         if (found == this->peers.end()) {
--- a/unittests/Control/PeerExchangeTest.cpp
+++ b/unittests/Control/PeerExchangeTest.cpp
@@ -173,6 +173,18 @@
     EXPECT_FALSE(this->b.freshness.isFresh(this->net.now)) << "nobody has heard from the store since";
 }
 
+TEST_F(PeerExchangeTest, aPeerThatKnowsMoreDoesNotAllowWorkAcrossDomainsBeforeItsDocumentsAreHere)
+{
+    this->a.freshness.setDomains({"da", "db"});
+    this->a.exchange.onLinkUp("b", this->net.now);
+    this->a.exchange.onMessage("b", PeerHello{.instance = "b", .domain = "db"}, this->net.now);
+    this->a.exchange.onMessage("b", PeerDigest{.configurationAgeUs = 0, .sequences = {{"tier", 9}}}, this->net.now);
+    EXPECT_FALSE(this->a.freshness.mayCrossDomains(this->net.now));
+    this->net.offer(this->a, ExchangeNet::tier(9), "b");
+    this->a.exchange.onMessage("b", PeerDigest{.configurationAgeUs = 0, .sequences = {{"tier", 9}}}, this->net.now);
+    EXPECT_TRUE(this->a.freshness.mayCrossDomains(this->net.now));
+}
+
 TEST_F(PeerExchangeTest, statusesAreRelayedOnceAndThenStop)
 {
     this->net.link("a", "b");
