--- a/include/ragwortcart/Emulator/LoadRun.h
+++ b/include/ragwortcart/Emulator/LoadRun.h
@@ -50,6 +50,9 @@
 struct LoadPlan
 {
     std::vector<std::string> targets;
+    /// Operators' addresses of the targets, in their order. When given, requests go only to targets that report themselves
+    /// as ready, as behind a balancer.
+    std::vector<std::string> health;
     std::vector<LoadKind> kinds;
     std::vector<LoadOrder> orders;
     std::vector<LoadWindow> windows;
--- a/lib/Emulator/LoadRun.cpp
+++ b/lib/Emulator/LoadRun.cpp
@@ -15,6 +15,7 @@
 #include <functional>
 #include <pcg_random.hpp>
 #include <random>
+#include <sys/socket.h>
 
 namespace ragwort {
 
@@ -24,6 +25,8 @@
 
 /// Beyond its deadline a request may take this much longer before the load gives it up.
 static constexpr Duration ANSWER_GRACE = std::chrono::seconds(2);
+static constexpr Duration HEALTH_INTERVAL = std::chrono::milliseconds(50);
+static constexpr Duration HEALTH_TIMEOUT = std::chrono::milliseconds(500);
 static constexpr std::size_t MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
 
 LoadPlan LoadPlan::read(Settings &settings)
@@ -32,8 +35,12 @@
     using std::chrono::seconds;
     LoadPlan plan;
     plan.targets = settings.list("load", "targets");
+    plan.health = settings.list("load", "health");
     plan.length = settings.duration("load", "length", {.minimum = std::chrono::milliseconds(100), .maximum = hours(1)});
     plan.seed = static_cast<std::uint64_t>(settings.integer("load", "seed", {.minimum = 1, .maximum = INT64_MAX, .fallback = 1}));
+    if (!plan.health.empty() && plan.health.size() != plan.targets.size()) {
+        settings.addFault("load", "health", std::to_string(plan.health.size()) + " addresses", "one for each target");
+    }
     if (plan.targets.empty()) {
         settings.addFault("load", "targets", "nothing", "a comma-separated list of callers' addresses");
     }
@@ -85,10 +92,12 @@
         this->request = std::move(message);
         this->completion = std::move(whenDone);
         this->stream.expires_after(timeout);
-        if (this->connected) {
+        if (this->connected && !this->closedByPeer()) {
             this->write();
             return;
         }
+        this->stream.close();
+        this->stream.expires_after(timeout);
         this->stream.async_connect(*parseEndpoint(address), [self = this->shared_from_this()](const ErrorCode &error) {
             if (error) {
                 self->finish({}, false);
@@ -102,6 +111,14 @@
     }
 
 private:
+    /// A kept connection may have been closed since; a balancer would see that too.
+    bool closedByPeer()
+    {
+        char byte = 0;
+        const ssize_t received = ::recv(this->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
     void write()
     {
         http::async_write(this->stream, this->request, [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
@@ -170,7 +187,9 @@
         for (const LoadOrder &order : this->plan.orders) {
             this->loop.callAfter(order.at + std::chrono::milliseconds(50), [this, &order] { this->sendOrder(order); });
         }
+        this->notReady.resize(this->plan.targets.size(), false);
         this->running = 1;
+        this->checkHealth();
         this->loop.callAfter(this->plan.length + std::chrono::milliseconds(50), [this] {
             --this->running;
             this->stopIfDone();
@@ -195,6 +214,33 @@
         });
     }
 
+    /// Asks every target for its readiness, again and again until the run ends.
+    void checkHealth()
+    {
+        if (this->plan.health.empty() || steadyNow() > this->begin + this->plan.length) {
+            return;
+        }
+        for (std::size_t index = 0; index < this->plan.health.size(); ++index) {
+            http::request<http::string_body> message(http::verb::get, "/readyz", 11);
+            message.set(http::field::host, this->plan.health[index]);
+            this->exchange(this->plan.health[index], std::move(message), HEALTH_TIMEOUT, [this, index](const LoadAnswer &answer) {
+                this->notReady[index] = answer.status != 200;
+            });
+        }
+        this->loop.callAfter(HEALTH_INTERVAL, [this] { this->checkHealth(); });
+    }
+
+    const std::string &nextTarget()
+    {
+        for (std::size_t tried = 0; tried < this->plan.targets.size(); ++tried) {
+            const std::size_t index = this->targetCount++ % this->plan.targets.size();
+            if (!this->notReady[index]) {
+                return this->plan.targets[index];
+            }
+        }
+        return this->plan.targets[this->targetCount++ % this->plan.targets.size()];
+    }
+
     std::string textOf(const LoadKind &kind)
     {
         if (kind.freshTexts) {
@@ -206,7 +252,7 @@
     void send(std::size_t kindIndex, Duration due)
     {
         const LoadKind &kind = this->plan.kinds[kindIndex];
-        const std::string &target = this->plan.targets[this->targetCount++ % this->plan.targets.size()];
+        const std::string &target = this->nextTarget();
         http::request<http::string_body> message(http::verb::post, "/v1/teams/" + kind.team + (kind.action ? "/actions/" : "/search/") + kind.name, 11);
         message.set(http::field::host, target);
         message.set(http::field::content_type, "application/json");
@@ -306,6 +352,7 @@
     std::vector<LoadWindow> windows;
     std::vector<LoadRow> rows;
     std::map<std::string, std::vector<std::shared_ptr<LoadConnection>>> idleConnections;
+    std::vector<bool> notReady;
     std::uint64_t targetCount = 0;
     std::uint64_t keyCount = 0;
     std::uint64_t freshCount = 0;
--- a/test/closing_servers.py
+++ b/test/closing_servers.py
@@ -43,4 +43,4 @@
 
 
 if __name__ == "__main__":
-    check.run(body, port_shift=2000)
+    check.run(body, port_shift=1500)
--- a/test/hostile_callers.py
+++ b/test/hostile_callers.py
@@ -95,4 +95,4 @@
 
 
 if __name__ == "__main__":
-    check.run(body, port_shift=1000)
+    check.run(body, port_shift=0)
--- a/utils/fleet.py
+++ b/utils/fleet.py
@@ -59,6 +59,7 @@
     def _plan_entries(self):
         parser = configparser.ConfigParser()
         parser.read(self.fleet_file)
+        self.team = parser.get("fleet", "team")
         domains = [name.strip() for name in parser.get("fleet", "domains").split(",")]
         base = parser.getint("entry", "base_port")
         entries = []
@@ -166,8 +167,17 @@
         status, response_headers, answer = http(entry["callers"], f"/v1/teams/{team}/actions/{kind}", json.dumps({"query": text}), headers)
         return status, response_headers, json.loads(answer)
 
-    def load(self, text, json_output=True):
-        path = os.path.join(self.work_dir, "experiment.ini")
+    def experiment(self, kinds, length_s, extra="", seed=3):
+        """The text of an experiment on all entries behind a balancer; kinds maps a name to (rate, deadline_ms, options)."""
+        targets = ", ".join(entry["callers"] for entry in self.entries)
+        health = ", ".join(entry["operators"] for entry in self.entries)
+        text = f"[load]\ntargets = {targets}\nhealth = {health}\nlength = {length_s}s\nseed = {seed}\n"
+        for name, (rate, deadline_ms, options) in kinds.items():
+            text += f"[kind.{name}]\nteam = {self.team}\nrate = {rate}\ndeadline = {deadline_ms}ms\n{options}"
+        return text + extra
+
+    def load(self, text, json_output=True, name="experiment"):
+        path = os.path.join(self.work_dir, name + ".ini")
         with open(path, "w") as file:
             file.write(text)
         arguments = [self.tool("ragwort-load"), f"--experiment={path}"] + (["--json"] if json_output else [])
