--- a/benchmarks/ControlBenchmark.cpp
+++ b/benchmarks/ControlBenchmark.cpp
@@ -9,10 +9,10 @@
 
 namespace ragwort {
 
-/// A digest for a number of configuration documents: encoded and decoded.
+/// A detailed digest for a number of configuration documents: encoded and decoded.
 static void BM_Digest(benchmark::State &state)
 {
-    PeerDigest digest{.configurationAgeUs = 5, .sequences = {}};
+    PeerDigest digest{.configurationAgeUs = 5, .documentsHash = 1, .sequences = {}};
     for (std::int64_t index = 0; index < state.range(0); ++index) {
         digest.sequences["team.name-" + std::to_string(index)] = static_cast<std::uint64_t>(1000 + index);
     }
--- a/include/ragwortcart/Control/ConfigurationKeeper.h
+++ b/include/ragwortcart/Control/ConfigurationKeeper.h
@@ -48,6 +48,9 @@
 
     DocumentSequences sequences() const;
 
+    /// Equal for equal sequences of equal documents.
+    std::uint64_t sequencesHash() const;
+
     /// The documents that someone with the sequences \p theirs lacks.
     std::vector<ConfigurationDocument> newerThan(const DocumentSequences &theirs) const;
 
--- a/include/ragwortcart/Control/PeerExchange.h
+++ b/include/ragwortcart/Control/PeerExchange.h
@@ -112,7 +112,7 @@
     void handle(const std::string &peer, const PeerWarmUp &warmUp, Instant now);
     void send(const std::string &peer, PeerMessage message);
     void sendToAll(const PeerMessage &message, const std::string &except = {});
-    PeerDigest makeDigest(Instant now) const;
+    PeerDigest makeDigest(Instant now, bool withSequences) const;
     void sendOwnStatuses(Instant now);
     void settleAccusations(Instant now);
 
--- a/include/ragwortcart/Control/PeerMessages.h
+++ b/include/ragwortcart/Control/PeerMessages.h
@@ -26,6 +26,10 @@
 {
     /// Microseconds; negative when the instance has never known a current configuration.
     std::int64_t configurationAgeUs = -1;
+    /// Hash of all names and sequences: the regular digest's size does not depend on the number of documents.
+    std::uint64_t documentsHash = 0;
+    /// True in the answer to a digest whose hash differs, and on a new link: then `sequences` is filled in.
+    bool detailed = false;
     DocumentSequences sequences;
 };
 
--- a/lib/Control/ConfigurationKeeper.cpp
+++ b/lib/Control/ConfigurationKeeper.cpp
@@ -2,6 +2,8 @@
 /// Order and replacement of configuration documents.
 #include "ragwortcart/Control/ConfigurationKeeper.h"
 
+#include "ragwortcart/Support/Hash.h"
+
 namespace ragwort {
 
 ConfigurationKeeper::ConfigurationKeeper() : configuration(std::make_shared<const Configuration>())
@@ -70,6 +72,15 @@
     return result;
 }
 
+std::uint64_t ConfigurationKeeper::sequencesHash() const
+{
+    std::uint64_t hash = 0;
+    for (const auto &[name, document] : this->documents) {
+        hash = stableHash(name, hash ^ document.sequence);
+    }
+    return hash;
+}
+
 std::vector<ConfigurationDocument> ConfigurationKeeper::newerThan(const DocumentSequences &theirs) const
 {
     std::vector<ConfigurationDocument> newer;
--- a/lib/Control/PeerExchange.cpp
+++ b/lib/Control/PeerExchange.cpp
@@ -37,17 +37,20 @@
     }
 }
 
-PeerDigest PeerExchange::makeDigest(Instant now) const
+PeerDigest PeerExchange::makeDigest(Instant now, bool withSequences) const
 {
     const Duration age = this->options.freshness.age(now);
-    return {.configurationAgeUs = age == Duration::max() ? -1 : age.count(), .sequences = this->options.keeper.sequences()};
+    return {.configurationAgeUs = age == Duration::max() ? -1 : age.count(),
+            .documentsHash = this->options.keeper.sequencesHash(),
+            .detailed = withSequences,
+            .sequences = withSequences ? this->options.keeper.sequences() : DocumentSequences()};
 }
 
 void PeerExchange::onLinkUp(const std::string &peer, Instant now)
 {
     this->peers.insert(peer);
     this->send(peer, PeerHello{.instance = this->options.instance, .domain = this->options.domain});
-    this->send(peer, this->makeDigest(now));
+    this->send(peer, this->makeDigest(now, true));
     PeerStatuses statuses;
     for (const auto &[id, observed] : this->options.directory.statuses()) {
         statuses.statuses.push_back({.status = observed.status, .ageUs = (now - observed.observedAt).count()});
@@ -81,13 +84,23 @@
 
 void PeerExchange::handle(const std::string &peer, const PeerDigest &digest, Instant now)
 {
+    const bool same = digest.documentsHash == this->options.keeper.sequencesHash();
+    if (!same && !digest.detailed) {
+        // Which documents differ shows from the full sequences. The other side's next digest asks for its part.
+        this->send(peer, this->makeDigest(now, true));
+        return;
+    }
     // A peer that holds more than we do counts as heard only once its documents have arrived: until then its knowledge
     // would let us act on our own, which is older.
     const auto domain = this->domainOf.find(peer);
-    if (domain != this->domainOf.end() && !this->options.keeper.lacksAny(digest.sequences)) {
+    const bool lacksNothing = same || !this->options.keeper.lacksAny(digest.sequences);
+    if (domain != this->domainOf.end() && lacksNothing) {
         const Duration age = digest.configurationAgeUs >= 0 ? Duration(digest.configurationAgeUs) : Duration::max();
         this->options.freshness.notePeer(domain->second, age, now);
     }
+    if (same) {
+        return;
+    }
     const std::vector<ConfigurationDocument> newer = this->options.keeper.newerThan(digest.sequences);
     if (!newer.empty()) {
         this->send(peer, PeerDocuments{.documents = newer});
@@ -212,7 +225,7 @@
     }
     if (now >= this->nextDigest) {
         this->nextDigest = now + PEER_DIGEST_INTERVAL;
-        this->sendToAll(this->makeDigest(now));
+        this->sendToAll(this->makeDigest(now, false));
     }
 }
 
--- a/lib/Wire/PeerCodec.cpp
+++ b/lib/Wire/PeerCodec.cpp
@@ -53,6 +53,8 @@
         sequences.insert(QString::fromStdString(name), number(sequence));
     }
     array.append(sequences);
+    array.append(number(digest.documentsHash));
+    array.append(digest.detailed);
     return array;
 }
 
@@ -116,7 +118,8 @@
 
 static PeerDigest decodeDigest(const QCborArray &array)
 {
-    PeerDigest digest{.configurationAgeUs = array.at(1).toInteger(-1), .sequences = {}};
+    PeerDigest digest{
+        .configurationAgeUs = array.at(1).toInteger(-1), .documentsHash = numberOf(array.at(3)), .detailed = array.at(4).toBool(), .sequences = {}};
     const QCborMap sequences = array.at(2).toMap();
     for (auto entry = sequences.begin(); entry != sequences.end(); ++entry) {
         digest.sequences[textOf(entry.key())] = numberOf(entry.value());
--- a/unittests/Control/PeerExchangeTest.cpp
+++ b/unittests/Control/PeerExchangeTest.cpp
@@ -178,10 +178,10 @@
     this->a.freshness.setDomains({"da", "db"});
     this->a.exchange.onLinkUp("b", this->net.now);
     this->a.exchange.onMessage("b", PeerHello{.instance = "b", .domain = "db"}, this->net.now);
-    this->a.exchange.onMessage("b", PeerDigest{.configurationAgeUs = 0, .sequences = {{"tier", 9}}}, this->net.now);
+    this->a.exchange.onMessage("b", PeerDigest{.configurationAgeUs = 0, .documentsHash = 1, .detailed = true, .sequences = {{"tier", 9}}}, this->net.now);
     EXPECT_FALSE(this->a.freshness.mayCrossDomains(this->net.now));
     this->net.offer(this->a, ExchangeNet::tier(9), "b");
-    this->a.exchange.onMessage("b", PeerDigest{.configurationAgeUs = 0, .sequences = {{"tier", 9}}}, this->net.now);
+    this->a.exchange.onMessage("b", PeerDigest{.configurationAgeUs = 0, .documentsHash = 1, .detailed = true, .sequences = {{"tier", 9}}}, this->net.now);
     EXPECT_TRUE(this->a.freshness.mayCrossDomains(this->net.now));
 }
 
--- a/unittests/Wire/PeerCodecTest.cpp
+++ b/unittests/Wire/PeerCodecTest.cpp
@@ -18,9 +18,12 @@
     const auto hello = std::get<PeerHello>(roundTrip(PeerHello{.instance = "e", .domain = "d"}));
     EXPECT_EQ(hello.instance, "e");
     EXPECT_EQ(hello.domain, "d");
-    const auto digest = std::get<PeerDigest>(roundTrip(PeerDigest{.configurationAgeUs = 5, .sequences = {{"tier", 3}}}));
+    const auto digest = std::get<PeerDigest>(
+        roundTrip(PeerDigest{.configurationAgeUs = 5, .documentsHash = 0xF123456789ABCDEFULL, .detailed = true, .sequences = {{"tier", 3}}}));
     EXPECT_EQ(digest.configurationAgeUs, 5);
     EXPECT_EQ(digest.sequences.at("tier"), 3U);
+    EXPECT_EQ(digest.documentsHash, 0xF123456789ABCDEFULL);
+    EXPECT_TRUE(digest.detailed);
     const auto documents = std::get<PeerDocuments>(roundTrip(PeerDocuments{.documents = {{.name = "n", .sequence = 2, .json = "{}"}}}));
     EXPECT_EQ(documents.documents.at(0).json, "{}");
     PeerStatus status{.status = {.serverId = "s", .report = {.incarnation = 7, .cold = true, .draining = true, .load = 4}, .snapshots = {}}, .ageUs = 9};
--- /dev/null
+++ b/utils/capacity_slopes.py
@@ -0,0 +1,122 @@
+"""Fits lines to the benchmarks' figures at several sizes, prints the slopes with their errors, and plots them."""
+
+import json
+import math
+import os
+import subprocess
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+BIN = os.path.join(ROOT, "build", "bin")
+OUT = os.path.join(ROOT, "docs", "capacity")
+REPETITIONS = 5
+
+
+def run_benchmark(name):
+    """Returns the median figures of every benchmark of one program, by family, as a list of (size, microseconds, bytes)."""
+    command = [
+        os.path.join(BIN, name),
+        "--benchmark_format=json",
+        f"--benchmark_repetitions={REPETITIONS}",
+        "--benchmark_report_aggregates_only=true",
+        "--benchmark_min_time=0.1",
+    ]
+    report = json.loads(subprocess.run(command, capture_output=True, text=True, check=True).stdout)
+    families = {}
+    for row in report["benchmarks"]:
+        if row.get("aggregate_name") == "median":
+            scale = {"ns": 1e-3, "us": 1.0, "ms": 1e3}[row["time_unit"]]
+            families.setdefault(row["name"].split("/")[0], []).append((row["size"], row["cpu_time"] * scale, row.get("bytes")))
+    return families
+
+
+def fit(points):
+    """Least squares: returns slope, intercept and the largest relative deviation of a point from the line."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / sum((x - mean_x) ** 2 for x, _ in points)
+    intercept = mean_y - slope * mean_x
+    error = max(abs(intercept + slope * x - y) / y for x, y in points if y)
+    return slope, intercept, error
+
+
+def report(families):
+    slopes = {}
+    for family, rows in families.items():
+        for label, column in (("us", 1), ("bytes", 2)):
+            points = [(row[0], row[column]) for row in rows if row[column] is not None]
+            if len(points) < 3:
+                continue
+            slope, intercept, error = fit(points)
+            slopes[family, label] = slope
+            listed = ", ".join(f"{x:g}: {y:.4g}" for x, y in points)
+            print(f"{family} {label}: {slope:.4g} per unit, {intercept:.4g} fixed, largest deviation {error * 100:.0f}%  ({listed})")
+    return slopes
+
+
+def http_cost():
+    """The median of the rounds of the client comparison."""
+    lines = subprocess.run([os.path.join(BIN, "HttpClientCost")], capture_output=True, text=True, check=True).stdout.splitlines()
+    rounds = sorted([float(field.split("=")[1]) for field in line.split()] for line in lines)
+    own, qt, ratio = rounds[len(rounds) // 2]
+    print(f"HttpClientCost: backend client {own} us, QNetworkAccessManager {qt} us of CPU a request, ratio {ratio}")
+    return own
+
+
+def plot(name, title, y_label, series, bound, bound_label):
+    """Draws cost against fleet size with the bound, by gnuplot."""
+    os.makedirs(OUT, exist_ok=True)
+    data = "\n".join(f"{x} " + " ".join(f"{line(x):.6g}" for _, line in series) for x in [7, 20, 70, 200, 700, 2000, 6800])
+    curves = ", ".join(f"$d using 1:{index + 2} with linespoints title '{label}'" for index, (label, _) in enumerate(series))
+    script = f"""set terminal svg size 720,420 dynamic
+set output '{os.path.join(OUT, name)}'
+set title '{title}'
+set logscale xy
+set xlabel 'entry instances'
+set ylabel '{y_label}'
+set key left top
+set grid
+$d << EOD
+{data}
+EOD
+plot [5:8000] {curves}, {bound} with lines dashtype 2 linewidth 2 title '{bound_label}'
+"""
+    subprocess.run(["gnuplot"], input=script, text=True, check=True)
+
+
+def main():
+    slopes = report({**run_benchmark("KernelBenchmark"), **run_benchmark("ControlBenchmark")})
+    http_cost()
+    status_bytes = slopes["BM_Statuses", "bytes"]
+    status_us = slopes["BM_Statuses", "us"]
+    servers_per_instance = 79_000 / 6_800
+    links = lambda n: min(n - 1, 12)  # Opened and accepted together beyond the full mesh.
+    # Every status is told to every instance once a second, and passed on over every link but the one it came by.
+    flood = lambda n: servers_per_instance * n * status_bytes * max(links(n) - 1, 1) / 1000
+    by_domain = lambda n: servers_per_instance * max(n / 31, 1) * status_bytes / 1000
+    plot(
+        "control-bytes.svg",
+        "Statuses of servers: bytes a second sent by an instance",
+        "KB a second",
+        [("today: all statuses renewed every second", flood), ("once within the domain only", by_domain)],
+        18,
+        "bound: 18 KB/s",
+    )
+    topology_us = slopes["BM_TopologyBuild", "us"]
+    share = lambda servers: lambda n: 100 * servers(n) * (2 * topology_us + 2 * status_us) / 1e6
+    plot(
+        "control-cpu.svg",
+        "Topology and statuses: share of a core for control",
+        "% of a core",
+        [
+            ("today: every server known to every instance", share(lambda n: servers_per_instance * n)),
+            ("servers of the own domain only", share(lambda n: servers_per_instance * max(n / 31, 1))),
+        ],
+        2.1,
+        "bound: 2.1%",
+    )
+    assert math.isfinite(status_bytes)
+
+
+if __name__ == "__main__":
+    main()
