--- /dev/null
+++ b/include/ragwortcart/Support/Visitor.h
@@ -0,0 +1,19 @@
+/// \file
+/// A visitor for `std::variant` made of one lambda per type.
+#ifndef RAGWORTCART_SUPPORT_VISITOR_H
+#define RAGWORTCART_SUPPORT_VISITOR_H
+
+namespace ragwort {
+
+/// Use as `std::visit(Visitor{[](const A &) {}, [](const B &) {}}, variant)`.
+template <typename... Handlers>
+struct Visitor : Handlers...
+{
+    using Handlers::operator()...;
+};
+template <typename... Handlers>
+Visitor(Handlers...) -> Visitor<Handlers...>;
+
+} // namespace ragwort
+
+#endif
--- a/lib/Kernel/QueryEngine.cpp
+++ b/lib/Kernel/QueryEngine.cpp
@@ -3,7 +3,7 @@
 #include "ragwortcart/Kernel/QueryEngine.h"
 
 #include "QueryState.h"
-#include "ragwortcart/Support/Hash.h"
+#include "ragwortcart/Support/Visitor.h"
 
 #include <cassert>
 
@@ -18,14 +18,6 @@
 /// From this many recent samples on, a service's own latencies are used instead of its group's.
 static constexpr std::uint64_t OWN_LATENCY_SAMPLES = 200;
 
-template <typename... Handlers>
-struct Visitor : Handlers...
-{
-    using Handlers::operator()...;
-};
-template <typename... Handlers>
-Visitor(Handlers...) -> Visitor<Handlers...>;
-
 template <typename Policy>
 static void replacePolicy(std::unique_ptr<Policy> &policy, std::string &current, const std::string &wanted, std::string_view fallback)
 {
--- a/lib/Runtime/Worker.cpp
+++ b/lib/Runtime/Worker.cpp
@@ -4,6 +4,7 @@
 
 #include "ragwortcart/Support/Hash.h"
 #include "ragwortcart/Support/Log.h"
+#include "ragwortcart/Support/Visitor.h"
 #include "ragwortcart/Wire/CallerCodec.h"
 
 #include <cassert>
@@ -11,14 +12,6 @@
 
 namespace ragwort {
 
-template <typename... Handlers>
-struct Visitor : Handlers...
-{
-    using Handlers::operator()...;
-};
-template <typename... Handlers>
-Visitor(Handlers...) -> Visitor<Handlers...>;
-
 Worker::Worker(Options workerOptions)
     : options(std::move(workerOptions))
     , configuration(this->options.configuration)
--- a/test/settings_check.py
+++ b/test/settings_check.py
@@ -10,6 +10,7 @@
 BIN = os.path.join(os.environ.get("RAGWORT_BUILD", os.path.join(check.ROOT, "build")), "bin")
 BAD_ENTRY = "[instance]\nid = e\n[callers]\naddress = localhost:80\n[threads]\nworkers = many\n[platform]\naddress = 127.0.0.1:1\nsurplus = 1\n"
 BAD_FLEET = "[fleet]\nteam = t\ndomains = d\n[group.g]\nservices = 0\nservers_per_service = 1\nslots = x\nconnections = 1\nconnect_time = 5\nbase_port = 1\n"
+BAD_CTL = "[platform]\naddress = store\n[apply]\nmaximum_instances = 0\nwait = 3\n"
 BAD_LOAD = "[load]\nlength = 5\n[kind.k]\nrate = fast\n"
 
 
@@ -32,6 +33,7 @@
         ("ragwort-fake-platform", "--fleet", BAD_FLEET, 4),
         ("ragwort-fake-backend", "--fleet", BAD_FLEET, 4),
         ("ragwort-load", "--experiment", BAD_LOAD, 5),
+        ("ragwortctl", "--settings", BAD_CTL, 3),
     ]
     for tool, flag, text, faults in cases:
         path = file(tool + ".ini", text)
--- a/tools/ragwortctl/main.cpp
+++ b/tools/ragwortctl/main.cpp
@@ -8,21 +8,43 @@
 #include <string>
 #include <vector>
 
-DEFINE_string(platform, "127.0.0.1:19000", "address of the platform's key-value service");
+DEFINE_string(settings, "", "INI file with the settings of this tool; flags go before it");
+DEFINE_bool(check_settings, false, "check the settings and exit");
+DEFINE_string(platform, "", "address of the platform's key-value service");
 DEFINE_uint64(based_on, 0, "the sequence in the store that the change is based on");
 DEFINE_bool(wait, false, "wait until the change is in force at every entry instance");
-DEFINE_uint64(wait_timeout_ms, 10000, "how long to wait, in milliseconds");
-DEFINE_int32(maximum_instances, 8, "for the first apply: the most entry instances that may run at once");
+
+static constexpr int DEFAULT_MAXIMUM_INSTANCES = 8;
+
+/// Reads the settings file; without one, every key has its default.
+static ragwort::CommandOptions readOptions(ragwort::Settings &settings)
+{
+    ragwort::CommandOptions options;
+    options.platformAddress = settings.address("platform", "address", "127.0.0.1:19000");
+    options.waitTimeout = settings.duration(
+        "apply", "wait_timeout", {.minimum = std::chrono::milliseconds(100), .maximum = std::chrono::minutes(10), .fallback = std::chrono::seconds(10)});
+    options.maximumInstances
+        = static_cast<int>(settings.integer("apply", "maximum_instances", {.minimum = 1, .maximum = 100'000, .fallback = DEFAULT_MAXIMUM_INSTANCES}));
+    return options;
+}
 
 int main(int argc, char **argv)
 {
     ragwort::parseFlags(&argc, &argv, "ragwortctl [flags] COMMAND\n" + ragwort::commandHelp());
+    ragwort::Settings settings = FLAGS_settings.empty() ? ragwort::Settings::fromText("(no settings)", "") : ragwort::Settings::fromFile(FLAGS_settings);
+    ragwort::CommandOptions options = readOptions(settings);
+    if (!ragwort::reportFaults(settings)) {
+        return ragwort::EXIT_BAD_SETTINGS;
+    }
+    if (FLAGS_check_settings) {
+        return 0;
+    }
+    if (!FLAGS_platform.empty()) {
+        options.platformAddress = FLAGS_platform;
+    }
+    options.basedOn = FLAGS_based_on;
+    options.wait = FLAGS_wait;
     const QCoreApplication application(argc, argv);
     const std::vector<std::string> arguments(argv + 1, argv + argc);
-    return ragwort::runCommand(arguments,
-                               {.platformAddress = FLAGS_platform,
-                                .basedOn = FLAGS_based_on,
-                                .wait = FLAGS_wait,
-                                .waitTimeout = std::chrono::milliseconds(FLAGS_wait_timeout_ms),
-                                .maximumInstances = FLAGS_maximum_instances});
+    return ragwort::runCommand(arguments, options);
 }
