A permit is given back when an answer crosses with its cancel

An answer that was on its way while its query was cancelled was dropped as late, and the client, which had completed the request already, had nothing left to report as ended. Change: a late answer or failure also ends a cancelled request; a unit test crosses the two. Also, AddressSanitizer found that a test read past the end of its own text (39 for 36 bytes).

--- a/lib/Kernel/AttemptSteps.cpp
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -228,6 +228,8 @@
     ActiveQuery *query = this->find(event.query);
     const std::optional<FoundAttempt> found = query == nullptr ? std::nullopt : findOpenAttempt(*query, event.attempt);
     if (!found) {
+        // The answer may have crossed with a cancel: then it is also the end of that request.
+        this->onSubEnded({.query = event.query, .attempt = event.attempt}, now);
         this->report(Reason::lateAnswerDropped, event.query);
         return;
     }
@@ -301,6 +303,7 @@
     ActiveQuery *query = this->find(event.query);
     const std::optional<FoundAttempt> found = query == nullptr ? std::nullopt : findOpenAttempt(*query, event.attempt);
     if (!found) {
+        this->onSubEnded({.query = event.query, .attempt = event.attempt}, now);
         return;
     }
     PartAttempt &attempt = query->parts[found->part].attempts[found->attempt];
--- a/unittests/Kernel/QueryEngineTest.cpp
+++ b/unittests/Kernel/QueryEngineTest.cpp
@@ -289,6 +289,19 @@
     EXPECT_EQ(harness.permitsInUse(), 0);
 }
 
+TEST(QueryEngineTest, anAnswerThatCrossesWithACancelGivesThePermitBack)
+{
+    EngineHarness harness;
+    const QueryId id = harness.ask();
+    const auto sends = harness.takeSends();
+    harness.handle(CallerGone{.query = id});
+    harness.answer(sends[0]);
+    harness.fail(sends[1], SubFailure::closed);
+    EXPECT_EQ(harness.permitsInUse(), 0);
+    harness.endCancelled();
+    EXPECT_EQ(harness.permitsInUse(), 0);
+}
+
 TEST(QueryEngineTest, noMoreRequestsInFlightThanTheShare)
 {
     EngineHarness harness;
--- a/unittests/Wire/HttpServerTest.cpp
+++ b/unittests/Wire/HttpServerTest.cpp
@@ -92,7 +92,7 @@
         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: -4\r\n\r\nabcd" + smuggled,
         "GET /a HTTP/1.1\r\n\r\n" + smuggled,
         "GET /a HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n" + smuggled,
-        std::string("GET /a HTTP/1.1\r\nHost: x\r\nA: b\0c\r\n\r\n", 39) + smuggled,
+        std::string("GET /a HTTP/1.1\r\nHost: x\r\nA: b\0c\r\n\r\n", 36) + smuggled,
         "nonsense\r\n\r\n" + smuggled,
     };
     for (const std::string &text : bad) {
