--- a/include/ragwortcart/Kernel/KernelMessages.h
+++ b/include/ragwortcart/Kernel/KernelMessages.h
@@ -163,6 +163,7 @@
     retried,
     retryBudgetSpent,
     attemptTimedOut,
+    attemptFailed,
     lateAnswerDropped,
     wrongSnapshotDropped,
     overlappingAnswerDropped,
@@ -195,6 +196,8 @@
     Reason reason = Reason::admitted;
     QueryId query = 0;
     std::string server;
+    /// What decided, as it is to appear in the log; may be empty.
+    std::string detail;
 };
 
 using KernelAction
--- a/include/ragwortcart/Kernel/Policies.h
+++ b/include/ragwortcart/Kernel/Policies.h
@@ -26,7 +26,7 @@
     virtual ~BalancePolicy() = default;
 
     /// The index of the chosen candidate; \p candidates is not empty and each holds a free permit.
-    virtual std::size_t choose(std::span<const ServerPointer> candidates, pcg32 &random) = 0;
+    virtual std::size_t choose(std::span<const ServerPointer> candidates, Instant now, pcg32 &random) = 0;
 };
 
 /// Decides when a second copy of a sub-request is worth its load.
--- a/include/ragwortcart/Kernel/QueryEngine.h
+++ b/include/ragwortcart/Kernel/QueryEngine.h
@@ -158,10 +158,11 @@
     bool mayExposeAnother(const ActiveQuery &query, Instant now);
     void continueAfterFailedPart(ActiveQuery &query, Instant now);
     void closeAttempt(PartAttempt &attempt);
-    void cancelAttempt(QueryId query, PartAttempt &attempt);
+    void cancelAttempt(QueryId query, PartAttempt &attempt, Instant now);
+    static void noteSlow(const PartAttempt &attempt, Instant now);
     void onSubEnded(const SubEnded &event, Instant now);
     void settleFailure(ActiveQuery &query, std::size_t partIndex, const ServerPointer &server, const SubFailed &event, Instant now);
-    void cancelOpenAttempts(ActiveQuery &query, QueryPart &part);
+    void cancelOpenAttempts(ActiveQuery &query, QueryPart &part, Instant now);
     void dispatchWaiting(Instant now);
     void waitForPermit(ActiveQuery &query, std::size_t partIndex, Instant now);
 
@@ -178,7 +179,7 @@
     void finishAction(ActiveQuery &query, RunState state, Reason reason, const std::string &outcome, Instant now);
 
     GroupState &groupState(const std::string &key);
-    void report(Reason reason, QueryId query, std::string server = {});
+    void report(Reason reason, QueryId query, std::string server = {}, std::string detail = {});
     ActiveQuery *find(QueryId id);
 
     Published<Configuration>::Reader configuration;
--- a/include/ragwortcart/Kernel/ServerRecord.h
+++ b/include/ragwortcart/Kernel/ServerRecord.h
@@ -77,7 +77,7 @@
     {
         return this->latencyUs.load(std::memory_order_relaxed);
     }
-    void recordLatency(Duration latency);
+    void recordLatency(Duration latency, Instant now);
 
     /// True while this instance alone may send to the server at level zero of its warm-up, and decides on the next level.
     bool ownsWarmUp(Instant now) const
@@ -128,6 +128,8 @@
     /// Load that the server itself reported last.
     std::atomic<int> reportedLoad{0};
     std::atomic<std::int64_t> latencyUs{0};
+    /// When the latency was last recorded, in microseconds on the monotonic axis.
+    std::atomic<std::int64_t> latencyAtUs{0};
     std::atomic<int> consecutiveFailures{0};
     /// Microseconds on the monotonic axis until which no request is sent, after repeated failures.
     std::atomic<std::int64_t> ejectedUntilUs{0};
--- a/lib/Kernel/ActionSteps.cpp
+++ b/lib/Kernel/ActionSteps.cpp
@@ -90,7 +90,7 @@
     bool anyUsable = false;
     std::vector<ServerPointer> open = this->candidates(query, query.parts.front(), now, anyUsable);
     while (!open.empty()) {
-        const std::size_t chosen = this->groupState(query.key).balance->choose(open, this->random);
+        const std::size_t chosen = this->groupState(query.key).balance->choose(open, now, this->random);
         if (this->sendAttempt(query, 0, open[chosen], false, now)) {
             return;
         }
--- a/lib/Kernel/AttemptSteps.cpp
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -51,7 +51,7 @@
         return;
     }
     while (!open.empty()) {
-        const std::size_t chosen = this->groupState(query.key).balance->choose(open, this->random);
+        const std::size_t chosen = this->groupState(query.key).balance->choose(open, now, this->random);
         if (this->sendAttempt(query, partIndex, open[chosen], false, now)) {
             this->armHedge(query, partIndex, now);
             return;
@@ -159,6 +159,11 @@
         return;
     }
     bool anyUsable = false;
+    for (const PartAttempt &attempt : query->parts[partIndex].attempts) {
+        if (attempt.open) {
+            noteSlow(attempt, now);
+        }
+    }
     const std::vector<ServerPointer> open = this->candidates(*query, query->parts[partIndex], now, anyUsable);
     if (open.empty() || !mayAttempt(*query, query->parts[partIndex]) || !this->mayExposeAnother(*query, now)) {
         return;
@@ -168,7 +173,7 @@
         this->report(Reason::hedgeBudgetSpent, id);
         return;
     }
-    const std::size_t chosen = state.balance->choose(open, this->random);
+    const std::size_t chosen = state.balance->choose(open, now, this->random);
     if (this->sendAttempt(*query, partIndex, open[chosen], true, now)) {
         ++query->hedges;
         this->report(Reason::hedged, id, open[chosen]->identity.id);
@@ -183,11 +188,21 @@
     attempt.server->release();
 }
 
-void QueryEngine::cancelAttempt(QueryId query, PartAttempt &attempt)
+/// A server that has not answered yet is at least as slow as the time that has passed.
+void QueryEngine::noteSlow(const PartAttempt &attempt, Instant now)
+{
+    const Duration waited = now - attempt.sentAt;
+    if (waited.count() > attempt.server->meanLatencyUs()) {
+        attempt.server->recordLatency(waited, now);
+    }
+}
+
+void QueryEngine::cancelAttempt(QueryId query, PartAttempt &attempt, Instant now)
 {
     assert(attempt.open && "an attempt is closed once");
     attempt.open = false;
     this->timers.cancel(attempt.timeout);
+    noteSlow(attempt, now);
     // The server may still be at work: the permit is given back when the request has ended there.
     this->cancelling.emplace(std::pair(query, attempt.id), attempt.server);
     this->actions.emplace_back(CancelSubRequest{.query = query, .attempt = attempt.id, .serverId = attempt.server->identity.id});
@@ -204,12 +219,12 @@
     this->dispatchWaiting(now);
 }
 
-void QueryEngine::cancelOpenAttempts(ActiveQuery &query, QueryPart &part)
+void QueryEngine::cancelOpenAttempts(ActiveQuery &query, QueryPart &part, Instant now)
 {
     this->timers.cancel(part.hedgeTimer);
     for (PartAttempt &attempt : part.attempts) {
         if (attempt.open) {
-            this->cancelAttempt(query.request.id, attempt);
+            this->cancelAttempt(query.request.id, attempt, now);
         }
     }
 }
@@ -259,7 +274,7 @@
         this->finishAction(*query, RunState::ran, Reason::completed, outcome, now);
         return;
     }
-    this->cancelOpenAttempts(*query, part);
+    this->cancelOpenAttempts(*query, part, now);
     if (query->covered.overlaps(event.answer.range)) {
         this->report(Reason::overlappingAnswerDropped, event.query, server->identity.id);
         part.state = PartState::failed;
@@ -299,7 +314,7 @@
     PartAttempt &silent = query->parts[found->part].attempts[found->attempt];
     const ServerPointer server = silent.server;
     this->report(Reason::attemptTimedOut, id, server->identity.id);
-    this->cancelAttempt(id, silent);
+    this->cancelAttempt(id, silent, now);
     this->settleFailure(*query, found->part, server, {.query = id, .attempt = attempt, .failure = SubFailure::timeout, .report = std::nullopt, .answer = std::nullopt}, now);
 }
 
@@ -326,6 +341,8 @@
     if (event.answer) {
         noteLoad(*server, *event.answer);
     }
+    const std::string status = event.answer ? " status " + std::to_string(event.answer->status) : std::string();
+    this->report(Reason::attemptFailed, event.query, server->identity.id, std::string(toString(event.failure)) + status);
     this->recordFailure(query, *server, event.failure, now);
     if (provesNotRun(event.failure)) {
         --part.exposed;
--- a/lib/Kernel/ForwardSteps.cpp
+++ b/lib/Kernel/ForwardSteps.cpp
@@ -10,7 +10,7 @@
 namespace ragwort {
 
 /// Time kept for the way of an answer back to a caller whose latency objective is about to be reached.
-static constexpr Duration OBJECTIVE_MARGIN = std::chrono::milliseconds(10);
+static constexpr Duration OBJECTIVE_MARGIN = std::chrono::milliseconds(16);
 /// Guards comparisons of shares against rounding.
 static constexpr double SHARE_TOLERANCE = 1e-9;
 
@@ -112,7 +112,7 @@
     this->closeAttempt(attempt);
     noteLoad(*server, event.answer);
     this->recordGoodAnswer(*query, *server, latency, false, now);
-    this->cancelOpenAttempts(*query, part);
+    this->cancelOpenAttempts(*query, part, now);
     part.state = PartState::done;
     part.answer = event.answer;
     this->finishForwardIfDone(*query, now);
--- a/lib/Kernel/KernelMessages.cpp
+++ b/lib/Kernel/KernelMessages.cpp
@@ -39,6 +39,8 @@
         return "retry-budget-spent";
     case Reason::attemptTimedOut:
         return "attempt-timed-out";
+    case Reason::attemptFailed:
+        return "attempt-failed";
     case Reason::lateAnswerDropped:
         return "late-answer-dropped";
     case Reason::wrongSnapshotDropped:
--- a/lib/Kernel/QueryEngine.cpp
+++ b/lib/Kernel/QueryEngine.cpp
@@ -94,9 +94,9 @@
     return status;
 }
 
-void QueryEngine::report(Reason reason, QueryId query, std::string server)
+void QueryEngine::report(Reason reason, QueryId query, std::string server, std::string detail)
 {
-    this->actions.emplace_back(ReportDecision{.reason = reason, .query = query, .server = std::move(server)});
+    this->actions.emplace_back(ReportDecision{.reason = reason, .query = query, .server = std::move(server), .detail = std::move(detail)});
 }
 
 ActiveQuery *QueryEngine::find(QueryId id)
@@ -342,7 +342,7 @@
 {
     const QueryId id = query.request.id;
     for (QueryPart &part : query.parts) {
-        this->cancelOpenAttempts(query, part);
+        this->cancelOpenAttempts(query, part, now);
     }
     this->timers.cancel(query.deadlineTimer);
     this->timers.cancel(query.objectiveTimer);
--- a/lib/Kernel/SearchSteps.cpp
+++ b/lib/Kernel/SearchSteps.cpp
@@ -157,7 +157,7 @@
     }
     this->report(Reason::snapshotRerun, query.request.id);
     for (QueryPart &part : query.parts) {
-        this->cancelOpenAttempts(query, part);
+        this->cancelOpenAttempts(query, part, now);
     }
     const QueryId id = query.request.id;
     std::erase_if(this->waitingParts, [id](const auto &waiting) { return waiting.first == id; });
--- a/lib/Kernel/ServerHealth.cpp
+++ b/lib/Kernel/ServerHealth.cpp
@@ -67,7 +67,7 @@
 void QueryEngine::recordGoodAnswer(ActiveQuery &query, ServerRecord &server, Duration latency, bool reportedCold, Instant now)
 {
     server.consecutiveFailures.store(0, std::memory_order_relaxed);
-    server.recordLatency(latency);
+    server.recordLatency(latency, now);
     GroupState &state = this->groupState(query.key);
     const std::string &latencyKey = latencyKeyOf(query, server);
     if (query.group->startsAnnounced) {
--- a/lib/Kernel/ServerRecord.cpp
+++ b/lib/Kernel/ServerRecord.cpp
@@ -63,8 +63,9 @@
     (void)before;
 }
 
-void ServerRecord::recordLatency(Duration latency)
+void ServerRecord::recordLatency(Duration latency, Instant now)
 {
+    this->latencyAtUs.store(now.time_since_epoch().count(), std::memory_order_relaxed);
     const std::int64_t sample = std::max<std::int64_t>(latency.count(), 1);
     std::int64_t current = this->latencyUs.load(std::memory_order_relaxed);
     std::int64_t next = 0;
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -18,6 +18,11 @@
 static constexpr Duration LEASE_RENEWAL = std::chrono::seconds(3);
 static constexpr Duration LEASE_RETRY = std::chrono::seconds(1);
 
+/// The part of the allowance for extra load that hedges may plan with; the rest is for retries.
+static constexpr double HEDGE_SHARE = 0.5;
+/// Queries of a route admitted at once per slot of its scarcest shard: while one shard holds a query up, the others idle.
+static constexpr int ADMISSION_PER_SLOT = 6;
+
 static int milliseconds(Duration duration)
 {
     return static_cast<int>(toMs(duration));
@@ -217,6 +222,8 @@
     for (Route &route : table->routes) {
         route.group.extraLoad = this->options.extraLoad.ratio;
         route.group.extraBurst = this->options.extraLoad.burst;
+        route.group.hedgeShare = this->options.extraLoad.ratio * HEDGE_SHARE;
+        route.group.admissionPerSlot = ADMISSION_PER_SLOT;
     }
     this->routes = table;
     auto next = std::make_shared<Configuration>(*this->options.configuration.load());
--- a/lib/Runtime/Worker.cpp
+++ b/lib/Runtime/Worker.cpp
@@ -302,6 +302,12 @@
     case Reason::snapshotLost:
     case Reason::unknownOutcome:
     case Reason::wrongSnapshotDropped:
+    case Reason::hedged:
+    case Reason::retried:
+    case Reason::attemptFailed:
+    case Reason::retryBudgetSpent:
+    case Reason::hedgeBudgetSpent:
+    case Reason::objectiveReached:
         return true;
     default:
         return false;
@@ -324,7 +330,8 @@
              {{.key = "request", .value = found == this->open.end() ? "-" : found->second.requestId},
               {.key = "reason", .value = std::string(toString(decision.reason))},
               {.key = "query", .value = std::to_string(decision.query)},
-              {.key = "server", .value = decision.server.empty() ? "-" : decision.server}});
+              {.key = "server", .value = decision.server.empty() ? "-" : decision.server},
+              {.key = "detail", .value = decision.detail}});
 }
 
 } // namespace ragwort
