--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -9,6 +9,8 @@
 
 /// A watch ends after this time without events, so that a silent connection is noticed within it.
 static constexpr Duration WATCH_WAIT = std::chrono::seconds(4);
+/// The same after a failure: a call that was sent into a cut connection must not hide that the store answers again.
+static constexpr Duration PROBE_WAIT = std::chrono::milliseconds(300);
 /// Between the events of one watch and the next watch, so that changes in a series come together.
 static constexpr Duration EVENT_PAUSE = std::chrono::milliseconds(100);
 static constexpr Duration FIRST_RETRY = std::chrono::milliseconds(100);
@@ -53,7 +55,6 @@
     this->leaving = true;
     this->leaseTimer.stop();
     if (this->lease != 0) {
-        ++this->failuresInRow;
         this->options.store.endLease(this->lease);
     }
 }
@@ -117,7 +118,8 @@
         return;
     }
     this->storeCalls.add();
-    this->options.store.watch({}, this->revision, WATCH_WAIT, [this](const Result<StoreEvents> &events) { this->onEvents(events); });
+    const Duration wait = this->failuresInRow == 0 ? WATCH_WAIT : PROBE_WAIT;
+    this->options.store.watch({}, this->revision, wait, [this](const Result<StoreEvents> &events) { this->onEvents(events); });
 }
 
 void RouteControl::onEvents(const Result<StoreEvents> &result)
