--- /dev/null
+++ b/unittests/Control/ServerRegistryTest.cpp
@@ -0,0 +1,133 @@
+#include "ragwortcart/Control/ServerRegistry.h"
+
+#include <gtest/gtest.h>
+
+namespace ragwort {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+class ServerRegistryTest : public testing::Test
+{
+protected:
+    ServerRegistryTest() : registry({.instance = "i1", .domain = "a"})
+    {
+        this->routes.services["x"] = {.connections = 26, .warmUp = seconds(3), .coldRate = 0.0};
+        this->registry.setInstance({.name = "i1", .domain = "a"});
+    }
+
+    static ServerEntry entry(const std::string &id, const std::string &domain = "a")
+    {
+        return {.id = id, .service = "x", .address = "10.0.0.1:80", .domain = domain, .slots = 2, .startedMs = 5};
+    }
+
+    ServerPointer find(const std::string &id)
+    {
+        const std::shared_ptr<const Topology> topology = this->registry.build(this->routes);
+        const auto found = topology->servers.find(id);
+        return found == topology->servers.end() ? nullptr : found->second;
+    }
+
+    ServerRegistry registry;
+    RouteTable routes;
+    Instant now{seconds(100)};
+};
+
+} // namespace
+
+TEST_F(ServerRegistryTest, aServerThatLeavesGetsNoNewWork)
+{
+    this->registry.set(entry("s"), this->now);
+    const ServerPointer server = this->find("s");
+    ServerEntry leaving = entry("s");
+    leaving.draining = true;
+    this->registry.set(leaving, this->now);
+    EXPECT_TRUE(server->hasBarrier());
+    EXPECT_EQ(this->find("s"), server);
+}
+
+TEST_F(ServerRegistryTest, anEntryThatGoesInCalmTimesIsGoneAtOnce)
+{
+    this->registry.set(entry("s"), this->now);
+    const ServerPointer server = this->find("s");
+    EXPECT_TRUE(this->registry.remove("s", this->now));
+    EXPECT_TRUE(server->hasBarrier());
+    EXPECT_EQ(this->find("s"), nullptr);
+}
+
+TEST_F(ServerRegistryTest, entriesThatLapsedWithTheStoreAreKeptUntilServersCanHaveWrittenThemAgain)
+{
+    this->registry.set(entry("alive"), this->now);
+    this->registry.set(entry("dead"), this->now);
+    this->registry.storeReturned(this->now);
+    this->registry.replaceAll({}, this->now);
+    EXPECT_FALSE(this->find("alive")->hasBarrier());
+    EXPECT_FALSE(this->find("dead")->hasBarrier());
+    this->registry.set(entry("alive"), this->now + seconds(1));
+    ASSERT_TRUE(this->registry.nextLapse());
+    EXPECT_TRUE(this->registry.dropLapsed(*this->registry.nextLapse()));
+    EXPECT_NE(this->find("alive"), nullptr);
+    EXPECT_EQ(this->find("dead"), nullptr);
+}
+
+TEST_F(ServerRegistryTest, aServerThatStartsAgainUnderItsIdHoldsNothingOfBefore)
+{
+    this->registry.set(entry("s"), this->now);
+    const ServerPointer before = this->find("s");
+    before->recordLatency(seconds(1), this->now);
+    ServerEntry again = entry("s");
+    again.startedMs = 6;
+    this->registry.set(again, this->now);
+    EXPECT_NE(this->find("s"), before);
+    EXPECT_TRUE(before->hasBarrier());
+    EXPECT_EQ(this->find("s")->meanLatencyUs(), 0);
+}
+
+TEST_F(ServerRegistryTest, aDomainThatIsTakenOutGetsNothingUntilItIsBack)
+{
+    this->registry.set(entry("s", "b"), this->now);
+    this->registry.setDomainOut("b", true);
+    EXPECT_TRUE(this->find("s")->hasBarrier());
+    this->registry.set(entry("late", "b"), this->now);
+    EXPECT_TRUE(this->find("late")->hasBarrier());
+    this->registry.setDomainOut("b", false);
+    EXPECT_FALSE(this->find("s")->hasBarrier());
+    EXPECT_FALSE(this->find("late")->hasBarrier());
+}
+
+TEST_F(ServerRegistryTest, theSharesOfAllInstancesStayWithinAServersConnections)
+{
+    this->registry.set(entry("s"), this->now);
+    for (int instances = 1; instances <= 12; ++instances) {
+        this->registry.setInstance({.name = "i" + std::to_string(instances), .domain = "a"});
+        EXPECT_LE(this->find("s")->warmShare * instances, 26);
+        EXPECT_GE(this->find("s")->warmShare, 1);
+    }
+}
+
+TEST_F(ServerRegistryTest, theInstancesOfAColdServersDomainDivideWhatItBears)
+{
+    ServerEntry cold = entry("s");
+    cold.warmUpLeft = seconds(3);
+    this->registry.set(cold, this->now);
+    this->registry.setInstance({.name = "i2", .domain = "a"});
+    this->registry.setInstance({.name = "i3", .domain = "b"});
+    const ServerPointer server = this->find("s");
+    int started = 0;
+    for (Instant at = this->now; at < this->now + seconds(1); at += milliseconds(10)) {
+        started += server->tryAcquire(at) ? 1 : 0;
+    }
+    // Five a second over two instances.
+    EXPECT_LE(started * 2, 5);
+    EXPECT_GE(started, 1);
+
+    ServerEntry foreign = entry("f", "b");
+    foreign.warmUpLeft = seconds(3);
+    this->registry.set(foreign, this->now);
+    EXPECT_FALSE(this->find("f")->tryAcquire(this->now + seconds(1)));
+    EXPECT_TRUE(this->find("f")->tryAcquire(this->now + seconds(4)));
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/unittests/Kernel/ForwardStepsTest.cpp
@@ -0,0 +1,281 @@
+/// \file
+/// Forwarded requests: gathering, objectives, what is passed on, and what may be said of a request that failed.
+#include "RouteHarness.h"
+
+#include <gtest/gtest.h>
+
+namespace ragwort {
+
+using std::chrono::milliseconds;
+
+static const MergedRecords *mergedOf(const Answer &answer)
+{
+    return std::get_if<MergedRecords>(&answer.forwarded);
+}
+
+TEST(ForwardStepsTest, oneServerOfEachShardIsAskedAndTheirAnswersAreMerged)
+{
+    RouteHarness harness;
+    harness.ask();
+    const std::vector<SubRequest> sends = harness.takeSends();
+    ASSERT_EQ(sends.size(), 10U);
+    for (const SubRequest &request : sends) {
+        EXPECT_TRUE(harness.replies.empty());
+        harness.answer(request);
+    }
+    ASSERT_EQ(harness.replies.size(), 1U);
+    const MergedRecords *merged = mergedOf(harness.replies[0]);
+    ASSERT_NE(merged, nullptr);
+    EXPECT_EQ(merged->signatures.size(), 10U);
+    EXPECT_EQ(merged->missingShards, 0U);
+    EXPECT_EQ(merged->body.size(), 3U * 16U);
+    EXPECT_EQ(harness.permitsInUse(), 0);
+    EXPECT_TRUE(harness.engine.idle());
+}
+
+TEST(ForwardStepsTest, atTheObjectiveAnAnswerWithoutThePausedShardGoesOut)
+{
+    RouteHarness harness;
+    harness.ask();
+    const std::vector<SubRequest> sends = harness.takeSends();
+    harness.pass(milliseconds(20));
+    for (std::size_t index = 1; index < sends.size(); ++index) {
+        harness.answer(sends[index]);
+    }
+    EXPECT_TRUE(harness.replies.empty());
+    harness.pass(milliseconds(100));
+    ASSERT_EQ(harness.replies.size(), 1U);
+    EXPECT_EQ(harness.replies[0].reason, "objective-reached");
+    ASSERT_NE(mergedOf(harness.replies[0]), nullptr);
+    EXPECT_EQ(mergedOf(harness.replies[0])->missingShards, 1U);
+    harness.endCancelled();
+    EXPECT_EQ(harness.permitsInUse(), 0);
+}
+
+TEST(ForwardStepsTest, belowTheLeastShareTheObjectivePassesAndTheAnswerComesLate)
+{
+    RouteHarness harness;
+    harness.ask();
+    const std::vector<SubRequest> sends = harness.takeSends();
+    for (std::size_t index = 2; index < sends.size(); ++index) {
+        harness.answer(sends[index]);
+    }
+    harness.pass(milliseconds(200));
+    EXPECT_TRUE(harness.replies.empty());
+    harness.answer(sends[1]);
+    ASSERT_EQ(harness.replies.size(), 1U);
+    EXPECT_TRUE(harness.replies[0].success);
+}
+
+TEST(ForwardStepsTest, whenTheLeastShareIsOutOfReachTheCallerIsToldAtOnce)
+{
+    RouteHarness harness;
+    for (const char *id : {"s0-a", "s0-b", "s0-c", "s1-a", "s1-b", "s1-c"}) {
+        harness.servers[id]->setBarrier(ServerRecord::gone, true);
+    }
+    harness.ask();
+    ASSERT_EQ(harness.replies.size(), 1U);
+    EXPECT_FALSE(harness.replies[0].success);
+    EXPECT_EQ(harness.replies[0].state, RunState::notRun);
+    EXPECT_GT(harness.replies[0].retryAfter, Duration::zero());
+    EXPECT_TRUE(harness.takeSends().empty());
+}
+
+TEST(ForwardStepsTest, aServerFailureIsNoPartOfAMergedAnswer)
+{
+    RouteHarness harness;
+    harness.ask();
+    const std::vector<SubRequest> sends = harness.takeSends();
+    ForwardedAnswer failure = RouteHarness::goodAnswer(sends[0]);
+    failure.status = 404;
+    harness.handle(ForwardAnswered{.query = sends[0].query, .attempt = sends[0].attempt, .answer = failure});
+    const std::vector<SubRequest> again = harness.takeSends();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_NE(again[0].serverId, sends[0].serverId);
+}
+
+TEST(ForwardStepsTest, noShardRunsOnMoreServersThanTheRouteAllows)
+{
+    RouteHarness harness;
+    harness.ask("single");
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        const std::vector<SubRequest> sends = harness.takeSends();
+        ASSERT_EQ(sends.size(), 1U);
+        harness.fail(sends[0], SubFailure::lost);
+    }
+    EXPECT_TRUE(harness.takeSends().empty());
+    ASSERT_EQ(harness.replies.size(), 1U);
+    EXPECT_EQ(harness.replies[0].state, RunState::outcomeUnknown);
+}
+
+TEST(ForwardStepsTest, aServersOwnFailureIsPassedOnWhenNothingBetterComes)
+{
+    RouteHarness harness;
+    harness.ask("single");
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        const std::vector<SubRequest> sends = harness.takeSends();
+        ASSERT_EQ(sends.size(), 1U);
+        ForwardedAnswer failure = RouteHarness::goodAnswer(sends[0]);
+        failure.status = 500;
+        harness.fail(sends[0], SubFailure::serverError, failure);
+    }
+    ASSERT_EQ(harness.replies.size(), 1U);
+    const auto *passed = std::get_if<ForwardedAnswer>(&harness.replies[0].forwarded);
+    ASSERT_NE(passed, nullptr);
+    EXPECT_EQ(passed->status, 500);
+}
+
+TEST(ForwardStepsTest, notRunIsSaidOnlyIfEveryServerProvedIt)
+{
+    RouteHarness harness;
+    harness.ask("action");
+    harness.fail(harness.takeSends().at(0), SubFailure::shed);
+    harness.fail(harness.takeSends().at(0), SubFailure::connectFailed);
+    harness.fail(harness.takeSends().at(0), SubFailure::misdirected);
+    ASSERT_EQ(harness.replies.size(), 1U);
+    EXPECT_EQ(harness.replies[0].state, RunState::notRun);
+}
+
+TEST(ForwardStepsTest, whatMayNotBeRepeatedIsNeverSentAgainAfterItMayHaveRun)
+{
+    for (const SubFailure failure : {SubFailure::lost, SubFailure::protocol, SubFailure::closed}) {
+        RouteHarness harness;
+        harness.learn(milliseconds(5));
+        harness.ask("action");
+        harness.fail(harness.takeSends().at(0), failure);
+        harness.pass(milliseconds(2000));
+        EXPECT_TRUE(harness.takeSends().empty());
+        ASSERT_EQ(harness.replies.size(), 1U);
+        EXPECT_EQ(harness.replies[0].state, RunState::outcomeUnknown);
+    }
+}
+
+TEST(ForwardStepsTest, whatMayNotBeRepeatedIsNotHedged)
+{
+    RouteHarness harness;
+    harness.learn(milliseconds(5));
+    harness.ask("action");
+    EXPECT_EQ(harness.takeSends().size(), 1U);
+    harness.pass(milliseconds(500));
+    EXPECT_TRUE(harness.takeSends().empty());
+}
+
+TEST(ForwardStepsTest, callersThatLeaveEndTheirSubRequests)
+{
+    RouteHarness harness;
+    const QueryId query = harness.ask();
+    harness.takeSends();
+    harness.handle(CallerGone{.query = query});
+    EXPECT_EQ(harness.cancelled.size(), 10U);
+    harness.endCancelled();
+    EXPECT_EQ(harness.permitsInUse(), 0);
+    EXPECT_TRUE(harness.engine.idle());
+}
+
+TEST(ForwardStepsTest, aServerThatTakesLongToAnswerAHedgedRequestIsAvoided)
+{
+    RouteHarness harness;
+    harness.learn(milliseconds(5), 40);
+    harness.ask();
+    const std::vector<SubRequest> sends = harness.takeSends();
+    const std::int64_t before = harness.servers[sends[0].serverId]->meanLatencyUs();
+    for (std::size_t index = 1; index < sends.size(); ++index) {
+        harness.answer(sends[index]);
+    }
+    harness.pass(milliseconds(60));
+    const std::vector<SubRequest> hedge = harness.takeSends();
+    ASSERT_EQ(hedge.size(), 1U);
+    harness.answer(hedge[0]);
+    EXPECT_GT(harness.servers[sends[0].serverId]->meanLatencyUs(), 2 * before);
+}
+
+TEST(ForwardStepsTest, extraArrivalsAtOneServiceStayWithinItsOwnAllowance)
+{
+    RouteHarness harness;
+    harness.instances = 10;
+    harness.publishServers();
+    int extra = 0;
+    for (int query = 0; query < 100; ++query) {
+        harness.ask();
+        for (const SubRequest &request : harness.takeSends()) {
+            if (request.serverId.starts_with("s0-")) {
+                harness.fail(request, SubFailure::shed);
+            } else {
+                harness.answer(request);
+            }
+        }
+        for (std::vector<SubRequest> again = harness.takeSends(); !again.empty(); again = harness.takeSends()) {
+            for (const SubRequest &request : again) {
+                extra += request.serverId.starts_with("s0-") ? 1 : 0;
+                harness.fail(request, SubFailure::shed);
+            }
+        }
+    }
+    // A fifth of 100 planned ones, and a tenth of the 50 that the tier may save up.
+    EXPECT_LE(extra, 20 + 5);
+    EXPECT_GT(extra, 10);
+}
+
+TEST(ForwardStepsTest, aColdServerGetsOnlyWhatItBears)
+{
+    RouteHarness harness;
+    for (const char *id : {"one-a", "one-b", "one-c"}) {
+        harness.servers[id]->announcedColdUntilUs = (harness.now + std::chrono::seconds(3)).time_since_epoch().count();
+        harness.servers[id]->coldIntervalUs = Duration(milliseconds(500)).count();
+    }
+    for (int query = 0; query < 20; ++query) {
+        harness.ask("single");
+    }
+    std::size_t sent = harness.takeSends().size();
+    harness.pass(milliseconds(990));
+    sent += harness.takeSends().size();
+    EXPECT_LE(sent, 2U * 3U);
+    EXPECT_GE(sent, 3U);
+}
+
+TEST(ForwardStepsTest, aWarmReplicaIsPreferredToACold)
+{
+    RouteHarness harness;
+    harness.servers["one-a"]->announcedColdUntilUs = (harness.now + std::chrono::seconds(3)).time_since_epoch().count();
+    for (int query = 0; query < 8; ++query) {
+        harness.ask("single");
+    }
+    for (const SubRequest &request : harness.takeSends()) {
+        EXPECT_NE(request.serverId, "one-a");
+    }
+}
+
+TEST(ForwardStepsTest, weightsAreKept)
+{
+    RouteHarness harness;
+    harness.route("single").target = ServiceChoice{.services = {{.service = "one", .weight = 3.0}, {.service = "s0", .weight = 1.0}}};
+    harness.publish();
+    int first = 0;
+    for (int query = 0; query < 1000; ++query) {
+        harness.ask("single");
+        const SubRequest request = harness.takeSends().at(0);
+        first += request.serverId.starts_with("one-") ? 1 : 0;
+        harness.answer(request);
+    }
+    EXPECT_NEAR(first, 750, 50);
+}
+
+TEST(ForwardStepsTest, refusedCallersAreToldToComeBackAtDifferentTimes)
+{
+    RouteHarness harness;
+    for (int query = 0; query < 300; ++query) {
+        harness.ask("gather");
+    }
+    std::vector<Duration> times;
+    for (const Answer &answer : harness.replies) {
+        EXPECT_EQ(answer.reason, "refused-overload");
+        EXPECT_EQ(answer.state, RunState::notRun);
+        times.push_back(answer.retryAfter);
+    }
+    ASSERT_GT(times.size(), 2U);
+    std::sort(times.begin(), times.end());
+    EXPECT_LT(times.front(), times.back());
+    EXPECT_LE(times.back(), milliseconds(500));
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/unittests/Kernel/RouteHarness.h
@@ -0,0 +1,224 @@
+/// \file
+/// An engine that serves routes, with its actions at hand and virtual time under the test's control.
+#ifndef RAGWORTCART_UNITTESTS_KERNEL_ROUTEHARNESS_H
+#define RAGWORTCART_UNITTESTS_KERNEL_ROUTEHARNESS_H
+
+#include "ragwortcart/Kernel/QueryEngine.h"
+#include "ragwortcart/Model/Route.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace ragwort {
+
+/// Route "gather" merges ten shards "s0" to "s9", route "single" goes to the service "one", route "action" too but may not
+/// be repeated. Each service has three servers, "s0-a" to "s0-c", of which the first is in this instance's failure domain.
+class RouteHarness
+{
+public:
+    static constexpr int SHARDS = 10;
+
+    RouteHarness()
+        : configuration(std::make_shared<const Configuration>())
+        , topology(std::make_shared<const Topology>())
+        , engine({.configuration = this->configuration,
+                  .topology = this->topology,
+                  .gate = this->gate,
+                  .suspects = this->suspects,
+                  .seed = 1,
+                  .sharesPermits = false})
+    {
+        ShardSet shards{.services = {}, .greatestRecords = 3};
+        for (int shard = 0; shard < SHARDS; ++shard) {
+            shards.services.push_back("s" + std::to_string(shard));
+            this->addServers(shards.services.back());
+        }
+        this->addServers("one");
+        this->table.version = 1;
+        this->table.routes = {this->makeRoute("gather", shards, true), this->makeRoute("single", ServiceChoice{.services = {{.service = "one"}}}, true),
+                              this->makeRoute("action", ServiceChoice{.services = {{.service = "one"}}}, false)};
+        this->route("gather").kind.minimumCoverage = 0.89;
+        this->publish();
+    }
+
+    Route &route(const std::string &name)
+    {
+        return *std::find_if(this->table.routes.begin(), this->table.routes.end(), [&name](const Route &each) { return each.name == name; });
+    }
+
+    void publish()
+    {
+        completeRoutes(this->table);
+        auto next = std::make_shared<Configuration>();
+        next->routes = std::make_shared<const RouteTable>(this->table);
+        this->configuration.publish(next);
+        this->publishServers();
+    }
+
+    void publishServers()
+    {
+        auto next = std::make_shared<Topology>();
+        next->version = ++this->version;
+        next->liveInstances = this->instances;
+        for (const auto &[id, server] : this->servers) {
+            next->servers[id] = server;
+            next->services[server->identity.service].push_back(server);
+        }
+        this->topology.publish(next);
+    }
+
+    QueryId ask(const std::string &name = "gather", Duration timeLeft = std::chrono::milliseconds(1500))
+    {
+        auto forwarded = std::make_shared<ForwardedRequest>();
+        forwarded->method = "GET";
+        forwarded->target = "/x/" + std::to_string(++this->lastQuery);
+        QueryRequest request{.id = this->lastQuery, .team = "host", .kind = name, .arrival = this->now, .deadline = this->now + timeLeft};
+        request.fingerprint = this->lastQuery;
+        request.work = ForwardedCall{.request = forwarded, .route = name};
+        this->handle(QueryArrived{.request = request});
+        return this->lastQuery;
+    }
+
+    void handle(const KernelEvent &event)
+    {
+        this->engine.handle(event, this->now);
+        this->collect();
+    }
+
+    void pass(Duration time)
+    {
+        const Instant end = this->now + time;
+        for (auto next = this->engine.nextWakeup(); next && *next <= end; next = this->engine.nextWakeup()) {
+            this->now = std::max(this->now, *next);
+            this->engine.advance(this->now);
+            this->collect();
+        }
+        this->now = end;
+    }
+
+    void collect()
+    {
+        for (KernelAction &action : this->engine.takeActions()) {
+            if (auto *send = std::get_if<SendSubRequest>(&action)) {
+                this->sends.push_back(send->request);
+            } else if (auto *reply = std::get_if<ReplyToCaller>(&action)) {
+                this->replies.push_back(reply->answer);
+            } else if (const auto *cancel = std::get_if<CancelSubRequest>(&action)) {
+                this->cancelled.push_back(*cancel);
+            } else if (const auto *decision = std::get_if<ReportDecision>(&action)) {
+                this->reasons.push_back(decision->reason);
+            }
+        }
+    }
+
+    void endCancelled()
+    {
+        for (const CancelSubRequest &cancel : std::exchange(this->cancelled, {})) {
+            this->handle(SubEnded{.query = cancel.query, .attempt = cancel.attempt});
+        }
+    }
+
+    static ForwardedAnswer goodAnswer(const SubRequest &request, const std::string &body = std::string(16, 'r'))
+    {
+        return {.status = 200, .headers = {}, .body = body, .signature = "sig-" + request.serverId, .load = std::nullopt};
+    }
+
+    void answer(const SubRequest &request)
+    {
+        this->handle(ForwardAnswered{.query = request.query, .attempt = request.attempt, .answer = goodAnswer(request)});
+    }
+
+    void fail(const SubRequest &request, SubFailure failure, std::optional<ForwardedAnswer> said = std::nullopt)
+    {
+        this->handle(
+            SubFailed{.query = request.query, .attempt = request.attempt, .failure = failure, .report = std::nullopt, .answer = std::move(said)});
+    }
+
+    std::vector<SubRequest> takeSends()
+    {
+        return std::exchange(this->sends, {});
+    }
+
+    bool saw(Reason reason) const
+    {
+        return std::find(this->reasons.begin(), this->reasons.end(), reason) != this->reasons.end();
+    }
+
+    int permitsInUse() const
+    {
+        int total = 0;
+        for (const auto &[id, server] : this->servers) {
+            total += server->inFlight;
+        }
+        return total;
+    }
+
+    /// Answers enough queries after \p latency for the hedge delay to be known.
+    void learn(Duration latency, int queries = 10)
+    {
+        for (int query = 0; query < queries; ++query) {
+            this->ask();
+            this->pass(latency);
+            for (const SubRequest &request : this->takeSends()) {
+                this->answer(request);
+            }
+        }
+        this->replies.clear();
+    }
+
+    Published<Configuration> configuration;
+    Published<Topology> topology;
+    AdmissionGate gate;
+    SuspectList suspects;
+    QueryEngine engine;
+    RouteTable table;
+    std::map<std::string, ServerPointer> servers;
+    std::vector<SubRequest> sends;
+    std::vector<Answer> replies;
+    std::vector<Reason> reasons;
+    std::vector<CancelSubRequest> cancelled;
+    Instant now{std::chrono::seconds(1000)};
+    std::uint64_t version = 0;
+    int instances = 1;
+    QueryId lastQuery = 0;
+
+private:
+    void addServers(const std::string &service)
+    {
+        for (const char *suffix : {"-a", "-b", "-c"}) {
+            const std::string id = service + suffix;
+            auto server = std::make_shared<ServerRecord>(
+                ServerIdentity{.id = id, .address = "127.0.0.1:1", .team = {}, .group = {}, .service = service, .domain = suffix, .slots = 2});
+            server->warmShare = 8;
+            server->foreign = std::string(suffix) != "-a";
+            this->servers[id] = server;
+        }
+    }
+
+    static Route makeRoute(const std::string &name, RouteTarget target, bool repeatable)
+    {
+        Route made;
+        made.name = name;
+        made.host = "host";
+        made.pathPrefix = "/" + name + "/";
+        made.target = std::move(target);
+        made.kind.repeatable = repeatable;
+        made.kind.maximumDeadline = std::chrono::seconds(10);
+        made.latencyObjective = std::chrono::milliseconds(120);
+        made.maximumAttempts = 2;
+        made.priority = 1;
+        made.group.canaryPolicy = "none";
+        made.group.startsAnnounced = true;
+        made.group.extraLoad = 0.2;
+        made.group.hedgeShare = 0.1;
+        made.group.extraBurst = 50.0;
+        made.group.admissionPerSlot = 6;
+        return made;
+    }
+};
+
+} // namespace ragwort
+
+#endif
--- /dev/null
+++ b/unittests/Model/RouteTest.cpp
@@ -0,0 +1,54 @@
+#include "ragwortcart/Model/RecordMerge.h"
+#include "ragwortcart/Model/Route.h"
+
+#include <gtest/gtest.h>
+
+namespace ragwort {
+
+static Route makeRoute(const std::string &name, const std::string &host, const std::string &prefix, const std::string &service, int priority = 0)
+{
+    Route route;
+    route.name = name;
+    route.host = host;
+    route.pathPrefix = prefix;
+    route.target = ServiceChoice{.services = {{.service = service}}};
+    route.priority = priority;
+    return route;
+}
+
+TEST(RouteTest, theLongestPrefixOfTheHostWins)
+{
+    RouteTable table;
+    table.routes = {makeRoute("short", "h", "/a/", "x"), makeRoute("long", "h", "/a/b/", "x"), makeRoute("other", "g", "/a/b/c/", "x")};
+    EXPECT_EQ(table.match("h", "/a/b/c/d")->name, "long");
+    EXPECT_EQ(table.match("h", "/a/c")->name, "short");
+    EXPECT_EQ(table.match("h", "/a"), nullptr);
+    EXPECT_EQ(table.match("i", "/a/b/"), nullptr);
+}
+
+TEST(RouteTest, routesToTheSameServicesAreOneGroupAndTheLowestPriorityIsUrgent)
+{
+    RouteTable table;
+    table.routes = {makeRoute("a", "h", "/a/", "x", 1), makeRoute("b", "h", "/b/", "x", 2), makeRoute("c", "h", "/c/", "y", 2)};
+    completeRoutes(table);
+    EXPECT_EQ(table.routes[0].group.name, table.routes[1].group.name);
+    EXPECT_NE(table.routes[0].group.name, table.routes[2].group.name);
+    EXPECT_EQ(table.routes[0].kind.urgency, Urgency::urgent);
+    EXPECT_EQ(table.routes[1].kind.urgency, Urgency::ordinary);
+    EXPECT_EQ(table.routes[2].kind.urgency, Urgency::urgent);
+}
+
+TEST(RecordMergeTest, theGreatestRecordsComeFirstComparedAsUnsignedBytes)
+{
+    const std::string low(16, '\x01');
+    const std::string middle(16, '\x7f');
+    const std::string high(16, '\xff');
+    const std::string first = low + high;
+    const std::string second = middle + middle + "rest";
+    const std::vector<std::string_view> shards = {first, second};
+    EXPECT_EQ(mergeGreatestRecords(shards, 3), high + middle + middle);
+    EXPECT_EQ(mergeGreatestRecords(shards, 9), high + middle + middle + low);
+    EXPECT_EQ(mergeGreatestRecords({}, 9), "");
+}
+
+} // namespace ragwort
--- /dev/null
+++ b/unittests/Platform/HttpProtocolsTest.cpp
@@ -0,0 +1,135 @@
+#include "platform/HttpProtocols.h"
+
+#include "ragwortcart/Model/Route.h"
+
+#include <gtest/gtest.h>
+
+namespace ragwort::platform {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+class HttpProtocolsTest : public testing::Test
+{
+protected:
+    HttpProtocolsTest()
+    {
+        auto table = std::make_shared<RouteTable>();
+        Route route;
+        route.name = "r";
+        route.host = "h.example";
+        route.pathPrefix = "/a/";
+        route.target = ServiceChoice{.services = {{.service = "x"}}};
+        route.kind.maximumDeadline = milliseconds(800);
+        table->routes.push_back(route);
+        this->configuration.routes = table;
+        this->forwarded = std::make_shared<ForwardedRequest>(
+            ForwardedRequest{.method = "GET", .target = "/a/1?p=2", .headers = {{.name = "Host", .value = "h.example"}}, .body = {}, .callerRequestId = "id1"});
+        this->sub = {.query = 1, .attempt = 1, .serverId = "i-1", .address = "10.0.0.1:80", .deadline = this->now + milliseconds(700)};
+        this->sub.forwarded = this->forwarded;
+    }
+
+    static HttpRequest request(const std::string &target)
+    {
+        return {.method = "GET",
+                .target = target,
+                .headers = {{.name = "Host", .value = "h.example"},
+                            {.name = "X-Request-Id", .value = "id1"},
+                            {.name = "X-Deadline-Ms", .value = "500"},
+                            {.name = "Connection", .value = "keep-alive, X-Mine"},
+                            {.name = "X-Mine", .value = "1"},
+                            {.name = "X-Expect-Instance", .value = "i-9"},
+                            {.name = "Accept", .value = "a/b"}},
+                .body = {},
+                .peer = {}};
+    }
+
+    SubOutcome decode(int status, std::vector<HeaderField> headers, const std::string &body = "body") const
+    {
+        return this->backends.decode(this->sub, {.status = status, .headers = std::move(headers), .body = body});
+    }
+
+    static SubFailure failureOf(const SubOutcome &outcome)
+    {
+        return std::get<SubFailureReport>(outcome).failure;
+    }
+
+    PlatformCallers callers;
+    PlatformBackends backends;
+    Configuration configuration;
+    std::shared_ptr<const ForwardedRequest> forwarded;
+    SubRequest sub;
+    Instant now{std::chrono::seconds(50)};
+};
+
+} // namespace
+
+TEST_F(HttpProtocolsTest, requestsAreForwardedWithoutTheHeadersOfTheirConnection)
+{
+    const auto decoded = this->callers.decode(request("/a/1?p=2"), this->configuration, this->now);
+    const auto &query = std::get<QueryRequest>(decoded);
+    EXPECT_EQ(query.deadline - this->now, milliseconds(500));
+    const ForwardedCall &call = std::get<ForwardedCall>(query.work);
+    EXPECT_EQ(call.request->target, "/a/1?p=2");
+    EXPECT_EQ(call.request->callerRequestId, "id1");
+    std::vector<std::string> names;
+    for (const HeaderField &field : call.request->headers) {
+        names.push_back(field.name);
+    }
+    EXPECT_EQ(names, (std::vector<std::string>{"Host", "X-Request-Id", "Accept"}));
+}
+
+TEST_F(HttpProtocolsTest, theRoutesTimeoutBoundsTheDeadline)
+{
+    HttpRequest patient = request("/a/1");
+    patient.headers[2].value = "60000";
+    const auto decoded = this->callers.decode(patient, this->configuration, this->now);
+    EXPECT_EQ(std::get<QueryRequest>(decoded).deadline - this->now, milliseconds(800));
+}
+
+TEST_F(HttpProtocolsTest, anInstanceWithoutAConfigurationDoesNotSayThatARouteIsMissing)
+{
+    EXPECT_EQ(std::get<HttpResponse>(this->callers.decode(request("/a/1"), Configuration(), this->now)).status, 503);
+    EXPECT_EQ(std::get<HttpResponse>(this->callers.decode(request("/b/1"), this->configuration, this->now)).status, 404);
+}
+
+TEST_F(HttpProtocolsTest, serversAreToldWhatIsLeftAndWhoIsMeant)
+{
+    const BackendCall call = this->backends.encode(this->sub, this->now);
+    EXPECT_EQ(call.target, "/a/1?p=2");
+    EXPECT_EQ(call.headers[1].value, "700");
+    EXPECT_EQ(call.headers[2].value, "i-1");
+}
+
+TEST_F(HttpProtocolsTest, anAnswerCountsOnlyWithItsSignatureAndItsOwnId)
+{
+    const HeaderField stamp{.name = "X-Server-Stamp", .value = "s"};
+    const HeaderField echo{.name = "X-Request-Id", .value = "id1"};
+    EXPECT_TRUE(std::holds_alternative<ForwardedAnswer>(this->decode(200, {stamp, echo})));
+    EXPECT_EQ(failureOf(this->decode(200, {echo})), SubFailure::protocol);
+    EXPECT_EQ(failureOf(this->decode(200, {stamp, {.name = "X-Request-Id", .value = "id2"}})), SubFailure::protocol);
+    EXPECT_EQ(failureOf(this->decode(200, {stamp, echo, {.name = "Content-Encoding", .value = "gzip"}})), SubFailure::protocol);
+    EXPECT_EQ(failureOf(this->decode(500, {stamp, echo})), SubFailure::serverError);
+}
+
+TEST_F(HttpProtocolsTest, onlyTheServersWordProvesThatNothingRan)
+{
+    EXPECT_TRUE(provesNotRun(failureOf(this->decode(503, {{.name = "X-Not-Run", .value = "1"}}))));
+    EXPECT_TRUE(provesNotRun(failureOf(this->decode(421, {{.name = "X-Instance-Id", .value = "i-2"}}))));
+    EXPECT_FALSE(provesNotRun(failureOf(this->decode(503, {}))));
+    EXPECT_FALSE(provesNotRun(failureOf(this->decode(429, {}))));
+}
+
+TEST_F(HttpProtocolsTest, aRefusalSaysWhenToComeBack)
+{
+    const Answer refused{.state = RunState::notRun, .reason = "refused-overload", .retryAfter = milliseconds(120)};
+    const HttpResponse response = this->callers.encode(refused, {});
+    EXPECT_EQ(response.status, 503);
+    ASSERT_EQ(response.headers.size(), 1U);
+    EXPECT_EQ(response.headers[0].value, "0.120");
+    const Answer unknown{.state = RunState::outcomeUnknown, .reason = "no-replica"};
+    EXPECT_EQ(this->callers.encode(unknown, {}).status, 502);
+}
+
+} // namespace ragwort::platform
