--- a/include/ragwortcart/Kernel/KernelMessages.h
+++ b/include/ragwortcart/Kernel/KernelMessages.h
@@ -93,8 +93,7 @@
 {
 };
 
-using KernelEvent
-    = std::variant<QueryArrived, CallerGone, SubAnswered, ForwardAnswered, SubFailed, SubEnded, ClaimDecided, AccusationSpread, DrainRequested>;
+using KernelEvent = std::variant<QueryArrived, CallerGone, SubAnswered, ForwardAnswered, SubFailed, SubEnded, ClaimDecided, AccusationSpread, DrainRequested>;
 
 // Actions.
 
--- a/lib/Emulator/FakePlatform.cpp
+++ b/lib/Emulator/FakePlatform.cpp
@@ -30,7 +30,10 @@
 FakePlatform::FakePlatform(EventLoop &eventLoop, const std::string &address, const FleetPlan &plan)
     : loop(eventLoop)
     , server(eventLoop,
-             {.address = address, .bounds = {.maximumBodyBytes = STORE_MAXIMUM_VALUE_BYTES + 1024}, .maximumConnections = 5000, .maximumConnectionsPerAddress = 5000},
+             {.address = address,
+              .bounds = {.maximumBodyBytes = STORE_MAXIMUM_VALUE_BYTES + 1024},
+              .maximumConnections = 5000,
+              .maximumConnectionsPerAddress = 5000},
              [this](HttpRequest request, const std::shared_ptr<HttpExchange> &exchange) { this->handle(std::move(request), exchange); })
 {
     for (const PlannedServer &planned : plan.servers) {
--- a/lib/Kernel/AttemptSteps.cpp
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -266,7 +266,8 @@
             && event.answer.range.end <= part.range.end);
     if (!matches) {
         this->report(Reason::wrongSnapshotDropped, event.query, server->identity.id);
-        this->onSubFailed({.query = event.query, .attempt = event.attempt, .failure = SubFailure::protocol, .report = event.answer.report, .answer = std::nullopt}, now);
+        this->onSubFailed(
+            {.query = event.query, .attempt = event.attempt, .failure = SubFailure::protocol, .report = event.answer.report, .answer = std::nullopt}, now);
         return;
     }
     const Duration latency = now - attempt.sentAt;
@@ -319,7 +320,8 @@
     const ServerPointer server = silent.server;
     this->report(Reason::attemptTimedOut, id, server->identity.id);
     this->cancelAttempt(id, silent, now);
-    this->settleFailure(*query, found->part, server, {.query = id, .attempt = attempt, .failure = SubFailure::timeout, .report = std::nullopt, .answer = std::nullopt}, now);
+    this->settleFailure(
+        *query, found->part, server, {.query = id, .attempt = attempt, .failure = SubFailure::timeout, .report = std::nullopt, .answer = std::nullopt}, now);
 }
 
 void QueryEngine::onSubFailed(const SubFailed &event, Instant now)
@@ -400,8 +402,7 @@
         .failure = failure, .attemptsOfPart = static_cast<int>(part.attempts.size()), .urgency = query.kind->urgency, .timeLeft = query.timeLeft(now)};
     bool anyUsable = false;
     this->candidates(query, part, now, anyUsable);
-    const bool allowed
-        = anyUsable && mayAttempt(query, part) && this->mayExposeAnother(query, now) && this->mayCostExtra(query, part, ExtraPurpose::retry);
+    const bool allowed = anyUsable && mayAttempt(query, part) && this->mayExposeAnother(query, now) && this->mayCostExtra(query, part, ExtraPurpose::retry);
     if (allowed && state.retry->retry(question, this->budgetOf(query, part))) {
         ++query.retries;
         this->report(Reason::retried, query.request.id);
--- a/lib/Kernel/ForwardSteps.cpp
+++ b/lib/Kernel/ForwardSteps.cpp
@@ -107,8 +107,8 @@
     const bool merges = std::holds_alternative<ShardSet>(query->route->target);
     if (merges && !event.answer.success()) {
         // A failure of a server is no part of a merged answer, whatever its status.
-        this->onSubFailed(
-            {.query = event.query, .attempt = event.attempt, .failure = SubFailure::serverError, .report = std::nullopt, .answer = event.answer}, now);
+        this->onSubFailed({.query = event.query, .attempt = event.attempt, .failure = SubFailure::serverError, .report = std::nullopt, .answer = event.answer},
+                          now);
         return;
     }
     const ServerPointer server = attempt.server;
--- a/lib/Kernel/QueryEngine.cpp
+++ b/lib/Kernel/QueryEngine.cpp
@@ -46,7 +46,12 @@
 }
 
 QueryEngine::QueryEngine(const Options &options)
-    : configuration(options.configuration), topology(options.topology), gate(options.gate), suspects(options.suspects), random(options.seed), sharesPermits(options.sharesPermits)
+    : configuration(options.configuration)
+    , topology(options.topology)
+    , gate(options.gate)
+    , suspects(options.suspects)
+    , random(options.seed)
+    , sharesPermits(options.sharesPermits)
 {
 }
 
--- a/lib/Policies/RetryPolicies.cpp
+++ b/lib/Policies/RetryPolicies.cpp
@@ -37,7 +37,8 @@
 private:
     static bool costsNothing(SubFailure failure)
     {
-        return failure == SubFailure::connectFailed || failure == SubFailure::misdirected || failure == SubFailure::draining || failure == SubFailure::snapshotGone;
+        return failure == SubFailure::connectFailed || failure == SubFailure::misdirected || failure == SubFailure::draining
+            || failure == SubFailure::snapshotGone;
     }
 };
 
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -12,7 +12,7 @@
 /// The same after a failure: a call that was sent into a cut connection must not hide that the store answers again.
 static constexpr Duration PROBE_WAIT = std::chrono::milliseconds(300);
 /// Between the events of one watch and the next watch, so that changes in a series come together.
-static constexpr Duration EVENT_PAUSE = std::chrono::milliseconds(100);
+static constexpr Duration EVENT_PAUSE = std::chrono::milliseconds(250);
 static constexpr Duration FIRST_RETRY = std::chrono::milliseconds(100);
 static constexpr Duration LONGEST_RETRY = std::chrono::milliseconds(800);
 /// The entry of an instance that has died goes after this time.
@@ -143,45 +143,47 @@
 
 void RouteControl::apply(const StoreEvent &event)
 {
-    std::visit(Visitor{[this](const StoreItem &item) { this->applyItem(item, nullptr); },
-                       [this](const StoreDeletion &deletion) { this->applyRemoval(deletion.key); }},
-               event);
+    std::visit(
+        Visitor{[this](const StoreItem &item) { this->applyItem(item, nullptr); }, [this](const StoreDeletion &deletion) { this->applyRemoval(deletion.key); }},
+        event);
 }
 
 void RouteControl::applyItem(const StoreItem &item, std::vector<ServerEntry> *listedServers)
 {
     const Instant now = steadyNow();
-    std::visit(Visitor{[](const UnrelatedFact &) {},
-                       [&](const RoutesFact &fact) { this->offerRoutes(fact, item.revision); },
-                       [&](const ServerFact &fact) {
-                           if (listedServers != nullptr) {
-                               listedServers->push_back(fact.entry);
-                           } else if (this->registry.set(fact.entry, now)) {
-                               this->rebuildNeeded = true;
-                               logEvent(LogLevel::info,
-                                        "server-entry",
-                                        {{.key = "server", .value = fact.entry.id},
-                                         {.key = "service", .value = fact.entry.service},
-                                         {.key = "domain", .value = fact.entry.domain},
-                                         {.key = "draining", .value = fact.entry.draining ? "true" : "false"},
-                                         {.key = "warm_up_left_ms", .value = std::to_string(toMs(fact.entry.warmUpLeft))},
-                                         {.key = "revision", .value = std::to_string(item.revision)}});
-                           }
-                       },
-                       [&](const DomainOutFact &fact) {
-                           this->domainsOut.insert(fact.domain);
-                           this->registry.setDomainOut(fact.domain, true);
-                           this->rebuildNeeded = true;
-                           logEvent(LogLevel::info, "domain-out", {{.key = "domain", .value = fact.domain}, {.key = "revision", .value = std::to_string(item.revision)}});
-                       },
-                       [&](const InstanceFact &fact) {
-                           this->registry.setInstance(fact);
-                           this->rebuildNeeded = true;
-                       },
-                       [&](const UnreadableFact &fact) {
-                           logEvent(LogLevel::warning, "entry-unreadable", {{.key = "key", .value = item.key}, {.key = "error", .value = fact.error.describe()}});
-                       }},
-               this->options.format.decode(item.key, item.value));
+    std::visit(
+        Visitor{
+            [](const UnrelatedFact &) {},
+            [&](const RoutesFact &fact) { this->offerRoutes(fact, item.revision); },
+            [&](const ServerFact &fact) {
+                if (listedServers != nullptr) {
+                    listedServers->push_back(fact.entry);
+                } else if (this->registry.set(fact.entry, now)) {
+                    this->rebuildNeeded = true;
+                    logEvent(LogLevel::info,
+                             "server-entry",
+                             {{.key = "server", .value = fact.entry.id},
+                              {.key = "service", .value = fact.entry.service},
+                              {.key = "domain", .value = fact.entry.domain},
+                              {.key = "draining", .value = fact.entry.draining ? "true" : "false"},
+                              {.key = "warm_up_left_ms", .value = std::to_string(toMs(fact.entry.warmUpLeft))},
+                              {.key = "revision", .value = std::to_string(item.revision)}});
+                }
+            },
+            [&](const DomainOutFact &fact) {
+                this->domainsOut.insert(fact.domain);
+                this->registry.setDomainOut(fact.domain, true);
+                this->rebuildNeeded = true;
+                logEvent(LogLevel::info, "domain-out", {{.key = "domain", .value = fact.domain}, {.key = "revision", .value = std::to_string(item.revision)}});
+            },
+            [&](const InstanceFact &fact) {
+                this->registry.setInstance(fact);
+                this->rebuildNeeded = true;
+            },
+            [&](const UnreadableFact &fact) {
+                logEvent(LogLevel::warning, "entry-unreadable", {{.key = "key", .value = item.key}, {.key = "error", .value = fact.error.describe()}});
+            }},
+        this->options.format.decode(item.key, item.value));
 }
 
 void RouteControl::applyRemoval(const std::string &key)
@@ -316,18 +318,19 @@
 {
     const InstanceFact self{.name = this->options.instance, .domain = this->options.domain};
     this->storeCalls.add();
-    this->options.store.put(this->options.format.instanceKey(self.name), this->options.format.encodeInstance(self), this->lease, [this](const Result<StoreRevision> &written) {
-        if (!written) {
-            logEvent(LogLevel::warning, "own-entry-not-written", {{.key = "error", .value = written.error().describe()}});
-            QTimer::singleShot(milliseconds(LEASE_RETRY), this, [this] { this->grantLease(); });
-            return;
-        }
-        QTimer::singleShot(milliseconds(LEASE_RENEWAL), this, [this, held = this->lease] {
-            if (held == this->lease) {
-                this->renewLease();
+    this->options.store.put(
+        this->options.format.instanceKey(self.name), this->options.format.encodeInstance(self), this->lease, [this](const Result<StoreRevision> &written) {
+            if (!written) {
+                logEvent(LogLevel::warning, "own-entry-not-written", {{.key = "error", .value = written.error().describe()}});
+                QTimer::singleShot(milliseconds(LEASE_RETRY), this, [this] { this->grantLease(); });
+                return;
             }
+            QTimer::singleShot(milliseconds(LEASE_RENEWAL), this, [this, held = this->lease] {
+                if (held == this->lease) {
+                    this->renewLease();
+                }
+            });
         });
-    });
 }
 
 void RouteControl::renewLease()
--- a/lib/Runtime/RouteProcess.cpp
+++ b/lib/Runtime/RouteProcess.cpp
@@ -55,16 +55,14 @@
               .backendProtocol = this->options.backendProtocol,
               .cancelGrace = CANCEL_GRACE,
               .seed = stableHash(this->options.settings.instance, static_cast<std::uint64_t>(wallClockMs()))})
-    , readiness(this->operatorsLoop,
-                {.address = this->options.settings.readyAddress,
-                 .maximumConnections = OPERATOR_CONNECTIONS,
-                 .maximumConnectionsPerAddress = OPERATOR_CONNECTIONS},
-                [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { this->onOperatorRequest(request, exchange); })
-    , metricsServer(this->operatorsLoop,
-                    {.address = this->options.settings.metricsAddress,
-                     .maximumConnections = OPERATOR_CONNECTIONS,
-                     .maximumConnectionsPerAddress = OPERATOR_CONNECTIONS},
-                    [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { this->onOperatorRequest(request, exchange); })
+    , readiness(
+          this->operatorsLoop,
+          {.address = this->options.settings.readyAddress, .maximumConnections = OPERATOR_CONNECTIONS, .maximumConnectionsPerAddress = OPERATOR_CONNECTIONS},
+          [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { this->onOperatorRequest(request, exchange); })
+    , metricsServer(
+          this->operatorsLoop,
+          {.address = this->options.settings.metricsAddress, .maximumConnections = OPERATOR_CONNECTIONS, .maximumConnectionsPerAddress = OPERATOR_CONNECTIONS},
+          [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { this->onOperatorRequest(request, exchange); })
 {
     this->worker.setColleagues({&this->worker});
     this->registerGauges();
--- a/lib/Runtime/Worker.cpp
+++ b/lib/Runtime/Worker.cpp
@@ -262,7 +262,8 @@
     const Duration elapsed = steadyNow() - query.arrival;
     this->latencyOf(query.team, query.kind).record(elapsed);
     this->options.metrics.counter("ragwort_answers_total", "reason=\"" + answer.reason + "\",success=\"" + (answer.success ? "true" : "false") + '"').add();
-    HttpResponse response = this->options.callerProtocol.encode(answer, {.instance = this->options.instance, .repeatable = query.repeatable, .elapsed = elapsed});
+    HttpResponse response
+        = this->options.callerProtocol.encode(answer, {.instance = this->options.instance, .repeatable = query.repeatable, .elapsed = elapsed});
     this->logAnswer(answer, query, elapsed, response.status);
     query.front->post([front = query.front, exchange = query.exchange, response = std::move(response)] {
         exchange->respond(response);
--- a/lib/Wire/BackendClient.cpp
+++ b/lib/Wire/BackendClient.cpp
@@ -290,7 +290,8 @@
         this->core.running.erase(this->current.key);
         this->close();
         if (completion) {
-            completion(this->abandoned ? SubOutcome(SubCancelled{}) : SubOutcome(SubFailureReport{.failure = failure, .report = std::nullopt, .answer = std::nullopt}));
+            completion(this->abandoned ? SubOutcome(SubCancelled{})
+                                       : SubOutcome(SubFailureReport{.failure = failure, .report = std::nullopt, .answer = std::nullopt}));
         }
     }
 
@@ -421,9 +422,7 @@
 {
     ServerPool &pool = this->poolOf(request.address);
     pool.bound = connectionBound > 0 ? connectionBound : this->options.defaultConnections;
-    pool.waiting.push_back({.key = {.query = request.query, .attempt = request.attempt},
-                            .request = request,
-                            .completion = std::move(completion)});
+    pool.waiting.push_back({.key = {.query = request.query, .attempt = request.attempt}, .request = request, .completion = std::move(completion)});
     this->pump(pool);
 }
 
--- a/lib/Wire/HttpServer.cpp
+++ b/lib/Wire/HttpServer.cpp
@@ -41,7 +41,11 @@
 {
 public:
     Core(EventLoop &eventLoop, Options serverOptions, HttpHandler requestHandler)
-        : loop(eventLoop), options(std::move(serverOptions)), bounds(this->options.bounds), handler(std::move(requestHandler)), acceptor(eventLoop.implementation().context)
+        : loop(eventLoop)
+        , options(std::move(serverOptions))
+        , bounds(this->options.bounds)
+        , handler(std::move(requestHandler))
+        , acceptor(eventLoop.implementation().context)
     {
     }
 
@@ -321,7 +325,8 @@
         for (const HttpHeader &header : response.headers) {
             this->response->insert(header.name, header.value);
         }
-        const bool keepAlive = !response.close && !this->core->draining && !this->core->closing && (!this->parser->is_header_done() || this->parser->get().keep_alive());
+        const bool keepAlive
+            = !response.close && !this->core->draining && !this->core->closing && (!this->parser->is_header_done() || this->parser->get().keep_alive());
         this->response->keep_alive(keepAlive);
         this->response->body() = response.body;
         this->response->prepare_payload();
--- a/unittests/Kernel/RouteHarness.h
+++ b/unittests/Kernel/RouteHarness.h
@@ -37,7 +37,8 @@
         }
         this->addServers("one");
         this->table.version = 1;
-        this->table.routes = {this->makeRoute("gather", shards, true), this->makeRoute("single", ServiceChoice{.services = {{.service = "one"}}}, true),
+        this->table.routes = {this->makeRoute("gather", shards, true),
+                              this->makeRoute("single", ServiceChoice{.services = {{.service = "one"}}}, true),
                               this->makeRoute("action", ServiceChoice{.services = {{.service = "one"}}}, false)};
         this->route("gather").kind.minimumCoverage = 0.89;
         this->publish();
@@ -132,8 +133,7 @@
 
     void fail(const SubRequest &request, SubFailure failure, std::optional<ForwardedAnswer> said = std::nullopt)
     {
-        this->handle(
-            SubFailed{.query = request.query, .attempt = request.attempt, .failure = failure, .report = std::nullopt, .answer = std::move(said)});
+        this->handle(SubFailed{.query = request.query, .attempt = request.attempt, .failure = failure, .report = std::nullopt, .answer = std::move(said)});
     }
 
     std::vector<SubRequest> takeSends()
--- a/unittests/Model/RouteTest.cpp
+++ b/unittests/Model/RouteTest.cpp
@@ -1,5 +1,5 @@
-#include "ragwortcart/Model/RecordMerge.h"
 #include "ragwortcart/Model/Route.h"
+#include "ragwortcart/Model/RecordMerge.h"
 
 #include <gtest/gtest.h>
 
--- /dev/null
+++ b/unittests/Platform/RouteProcessTest.cpp
@@ -0,0 +1,336 @@
+/// \file
+/// The whole path on the users' platform: an entry instance with all its threads between callers and stand-ins.
+#include "ragwortcart/Runtime/RouteProcess.h"
+
+#include "StandIn.h"
+#include "Wire/LoopThread.h"
+#include "platform/HttpProtocols.h"
+#include "platform/StoreClient.h"
+#include "platform/StoreFormat.h"
+#include "ragwortcart/Support/Log.h"
+
+#include <QCoreApplication>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <atomic>
+#include <gtest/gtest.h>
+
+namespace ragwort::platform {
+
+static constexpr int CALLERS_PORT = 18701;
+static constexpr int READY_PORT = 18702;
+static constexpr int METRICS_PORT = 18703;
+
+namespace {
+
+/// Services "s0" to "s3" with two servers each. Route /g/ merges all four, /one/ goes to s0, /once/ too but may not repeat.
+class RouteProcessTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        static int count = 1;
+        static char name[] = "test";
+        static char *arguments[] = {name, nullptr};
+        static const QCoreApplication APPLICATION(count, arguments);
+        initializeLog("test", "all", LogLevel::error);
+        const Result<std::uint16_t> storePort = this->thread.call([this] {
+            this->store = std::make_unique<StandInStore>(this->thread.loop);
+            return this->store->listen();
+        });
+        ASSERT_TRUE(storePort);
+        this->client = std::make_unique<StoreClient>(StoreClient::Options{.address = "127.0.0.1:" + std::to_string(*storePort)});
+        this->process = std::make_unique<RouteProcess>(RouteProcess::Options{.settings = {.instance = "i1",
+                                                                                          .domain = "a",
+                                                                                          .callersAddress = "127.0.0.1:" + std::to_string(CALLERS_PORT),
+                                                                                          .readyAddress = "127.0.0.1:" + std::to_string(READY_PORT),
+                                                                                          .metricsAddress = "127.0.0.1:" + std::to_string(METRICS_PORT),
+                                                                                          .stopTime = std::chrono::seconds(2)},
+                                                                             .store = *this->client,
+                                                                             .storeFormat = this->format,
+                                                                             .callerProtocol = this->callers,
+                                                                             .backendProtocol = this->backends});
+        ASSERT_TRUE(this->process->start());
+    }
+
+    void TearDown() override
+    {
+        this->process.reset();
+        this->client.reset();
+        this->thread.call([this] {
+            this->servers.clear();
+            this->store.reset();
+            return 0;
+        });
+    }
+
+    void startServers()
+    {
+        for (int service = 0; service < 4; ++service) {
+            for (const char *suffix : {"a", "b"}) {
+                const std::string serverId = "i-" + std::to_string(service) + suffix;
+                this->thread.call([&] {
+                    auto server = std::make_unique<StandInServer>(this->thread.loop, serverId);
+                    const Result<std::uint16_t> port = server->listen();
+                    this->servers[serverId] = std::move(server);
+                    this->store->put("servers/" + serverId, entryText("s" + std::to_string(service), *port, "ready"));
+                    this->ports[serverId] = *port;
+                    return 0;
+                });
+            }
+        }
+    }
+
+    static std::string entryText(const std::string &service, std::uint16_t port, const std::string &state)
+    {
+        return R"({"service":")" + service + R"(","addr":"127.0.0.1:)" + std::to_string(port) + R"(","zone":"a","version":"v1","slots":2,"state":")" + state
+            + R"(","warmup_left_ms":0,"sequence":1,"born":5})";
+    }
+
+    void putRoutes(int version, const std::vector<std::string> &shards, const std::string &extra = {})
+    {
+        QJsonArray gather;
+        QJsonArray services;
+        for (int service = 0; service < 4; ++service) {
+            services.append(QJsonObject{{"name", "s" + QString::number(service)}, {"max_conns", 20}, {"warmup_s", 0}, {"warmup_per_s", 0}});
+        }
+        for (const std::string &shard : shards) {
+            gather.append(QString::fromStdString(shard));
+        }
+        const auto route = [](const char *name, const char *prefix, const char *kind) {
+            return QJsonObject{{"name", name},
+                               {"host", "h"},
+                               {"prefix", prefix},
+                               {"kind", kind},
+                               {"timeout_ms", 3000},
+                               {"target_latency_ms", 500},
+                               {"max_attempts", 2},
+                               {"priority", 1}};
+        };
+        QJsonObject merging = route("g", "/g/", "safe");
+        merging.insert("gather", gather);
+        merging.insert("top_k", 3);
+        merging.insert("min_version", 0.75);
+        QJsonObject one = route("one", "/one/", "safe");
+        one.insert("service", "s0");
+        QJsonObject once = route("once", "/once/", "unsafe");
+        once.insert("service", "s0");
+        QJsonArray routes{merging, one, once};
+        if (!extra.empty()) {
+            QJsonObject added = route("extra", extra.c_str(), "safe");
+            added.insert("service", "s1");
+            routes.append(added);
+        }
+        const QJsonObject limits{{"header_bytes", 16384}, {"body_bytes", 262144}, {"header_timeout_ms", 3000}, {"idle_ms", 15000}};
+        const QJsonObject config{{"version", version}, {"routes", routes}, {"services", services}, {"limits", limits}};
+        const std::string text = QJsonDocument(config).toJson(QJsonDocument::Compact).toStdString();
+        this->thread.call([&] {
+            this->store->put("op/config", text);
+            return 0;
+        });
+    }
+
+    /// Runs the Qt event loop until \p condition holds.
+    template <typename Condition>
+    static bool pumpUntil(Condition condition)
+    {
+        return eventually([&condition] {
+            QCoreApplication::processEvents();
+            return condition();
+        });
+    }
+
+    /// A whole answer; the event loop runs meanwhile.
+    std::string get(int port, const std::string &target, const std::string &id = "id1")
+    {
+        std::atomic<bool> done{false};
+        std::string answer;
+        std::thread caller([&] {
+            const RawSocket socket(static_cast<std::uint16_t>(port));
+            socket.send("GET " + target + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 2000\r\nConnection: close\r\n\r\n");
+            answer = socket.readAll();
+            done = true;
+        });
+        pumpUntil([&done] { return done.load(); });
+        caller.join();
+        return answer;
+    }
+
+    static int statusOf(const std::string &answer)
+    {
+        return answer.size() > 12 ? std::stoi(answer.substr(9, 3)) : 0;
+    }
+
+    bool ready()
+    {
+        return statusOf(this->get(READY_PORT, "/readyz")) == 200;
+    }
+
+    void startAll()
+    {
+        this->putRoutes(1, {"s0", "s1", "s2", "s3"});
+        this->startServers();
+        ASSERT_TRUE(pumpUntil([this] { return this->ready() && statusOf(this->get(CALLERS_PORT, "/g/1")) == 200; }));
+        // All shards are known once nothing is missing.
+        ASSERT_TRUE(pumpUntil([this] { return this->get(CALLERS_PORT, "/g/1").find("X-Missing-Parts: 0") != std::string::npos; }));
+    }
+
+    void setMood(const std::string &prefix, StandInServer::Mood mood)
+    {
+        this->thread.call([&] {
+            for (const auto &[id, server] : this->servers) {
+                if (id.starts_with(prefix)) {
+                    server->mood = mood;
+                }
+            }
+            return 0;
+        });
+    }
+
+    std::uint64_t runs(const std::string &prefix)
+    {
+        return this->thread.call([&] {
+            std::uint64_t total = 0;
+            for (const auto &[id, server] : this->servers) {
+                total += id.starts_with(prefix) ? server->runs : 0;
+            }
+            return total;
+        });
+    }
+
+    LoopThread thread;
+    std::unique_ptr<StandInStore> store;
+    std::map<std::string, std::unique_ptr<StandInServer>> servers;
+    std::map<std::string, std::uint16_t> ports;
+    std::unique_ptr<StoreClient> client;
+    KeyValueFormat format;
+    PlatformCallers callers;
+    PlatformBackends backends;
+    std::unique_ptr<RouteProcess> process;
+};
+
+} // namespace
+
+TEST_F(RouteProcessTest, beforeAConfigurationCallersAreToldToComeBack)
+{
+    EXPECT_FALSE(this->ready());
+    const std::string answer = this->get(CALLERS_PORT, "/g/1");
+    EXPECT_EQ(statusOf(answer), 503);
+    EXPECT_NE(answer.find("Retry-After"), std::string::npos);
+}
+
+TEST_F(RouteProcessTest, aQueryIsAnsweredOverAllShardsAndAnotherByOneServer)
+{
+    this->startAll();
+    const std::string merged = this->get(CALLERS_PORT, "/g/2?page=1", "abc");
+    EXPECT_EQ(statusOf(merged), 200);
+    EXPECT_NE(merged.find("X-Part-Stamps: "), std::string::npos);
+    EXPECT_NE(merged.find(".abc"), std::string::npos);
+    EXPECT_EQ(merged.substr(merged.find("\r\n\r\n") + 4).size(), 3U * 16U);
+    const std::string single = this->get(CALLERS_PORT, "/one/2", "def");
+    EXPECT_EQ(statusOf(single), 200);
+    EXPECT_NE(single.find(".def"), std::string::npos);
+    EXPECT_EQ(statusOf(this->get(CALLERS_PORT, "/none/2")), 404);
+    EXPECT_NE(this->get(METRICS_PORT, "/metrics").find("ragwort_answers_total"), std::string::npos);
+    EXPECT_EQ(this->thread.call([this] { return this->store->count("ragwort/instances/"); }), 1U);
+}
+
+TEST_F(RouteProcessTest, whatMayNotBeRepeatedRunsOnceWhenItsAnswerIsLost)
+{
+    this->startAll();
+    this->setMood("i-0", StandInServer::Mood::losesAnswers);
+    const std::uint64_t before = this->runs("i-0");
+    EXPECT_EQ(statusOf(this->get(CALLERS_PORT, "/once/1")), 502);
+    EXPECT_EQ(this->runs("i-0"), before + 1);
+    EXPECT_EQ(statusOf(this->get(CALLERS_PORT, "/one/1")), 502);
+    EXPECT_EQ(this->runs("i-0"), before + 3);
+}
+
+TEST_F(RouteProcessTest, notRunIsToldWhenAllServersProveIt)
+{
+    this->startAll();
+    this->setMood("i-0", StandInServer::Mood::sheds);
+    const std::string answer = this->get(CALLERS_PORT, "/once/1");
+    EXPECT_EQ(statusOf(answer), 503);
+    EXPECT_NE(answer.find("Retry-After"), std::string::npos);
+}
+
+TEST_F(RouteProcessTest, answersThatBelongToNobodyAreNoParts)
+{
+    this->startAll();
+    for (const StandInServer::Mood mood : {StandInServer::Mood::crosses, StandInServer::Mood::lacksSignature, StandInServer::Mood::failing}) {
+        this->setMood("i-1", mood);
+        const std::string answer = this->get(CALLERS_PORT, "/g/1");
+        EXPECT_EQ(statusOf(answer), 200);
+        EXPECT_NE(answer.find("X-Missing-Parts: 1"), std::string::npos);
+        EXPECT_EQ(answer.find("another"), std::string::npos);
+    }
+}
+
+TEST_F(RouteProcessTest, aNewerConfigurationComesIntoForceAndAnOlderOneNever)
+{
+    this->startAll();
+    this->putRoutes(3, {"s0", "s1", "s2"}, "/extra/");
+    ASSERT_TRUE(pumpUntil([this] { return statusOf(this->get(CALLERS_PORT, "/extra/1")) == 200; }));
+    this->putRoutes(2, {"s0", "s1", "s2", "s3"});
+    this->thread.call([this] {
+        this->store->put("op/config", "not a configuration");
+        return 0;
+    });
+    this->putRoutes(4, {"s0", "s1"}, "/other/");
+    ASSERT_TRUE(pumpUntil([this] { return statusOf(this->get(CALLERS_PORT, "/other/1")) == 200; }));
+    EXPECT_EQ(statusOf(this->get(CALLERS_PORT, "/extra/1")), 404);
+}
+
+TEST_F(RouteProcessTest, aServerThatDrainsGetsNothingMore)
+{
+    this->startAll();
+    this->thread.call([this] {
+        this->store->put("servers/i-0a", entryText("s0", this->ports["i-0a"], "draining"));
+        return 0;
+    });
+    this->putRoutes(2, {"s0", "s1", "s2", "s3"}, "/extra/");
+    ASSERT_TRUE(pumpUntil([this] { return statusOf(this->get(CALLERS_PORT, "/extra/1")) == 200; }));
+    const std::uint64_t before = this->runs("i-0a");
+    for (int query = 0; query < 20; ++query) {
+        EXPECT_EQ(statusOf(this->get(CALLERS_PORT, "/one/1")), 200);
+    }
+    EXPECT_EQ(this->runs("i-0a"), before);
+}
+
+TEST_F(RouteProcessTest, serviceGoesOnWhileTheStoreIsAwayAndChangesCountAfterItsReturn)
+{
+    this->startAll();
+    this->thread.call([this] {
+        this->store->mood = StandInStore::Mood::refuses;
+        this->store->compact();
+        return 0;
+    });
+    for (int query = 0; query < 30; ++query) {
+        EXPECT_EQ(statusOf(this->get(CALLERS_PORT, "/g/1")), 200);
+    }
+    this->thread.call([this] {
+        this->store->mood = StandInStore::Mood::sound;
+        return 0;
+    });
+    this->putRoutes(2, {"s0", "s1", "s2", "s3"}, "/extra/");
+    EXPECT_TRUE(pumpUntil([this] { return statusOf(this->get(CALLERS_PORT, "/extra/1")) == 200; }));
+}
+
+TEST_F(RouteProcessTest, whoStopsServesOpenConnectionsAndAsksThemToClose)
+{
+    this->startAll();
+    RawSocket kept(CALLERS_PORT);
+    bool stopped = false;
+    this->process->shutDown([&stopped] { stopped = true; });
+    EXPECT_FALSE(this->ready());
+    kept.send("GET /one/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: k\r\nX-Deadline-Ms: 1000\r\n\r\n");
+    const std::string answer = kept.readAll();
+    EXPECT_EQ(statusOf(answer), 200);
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(pumpUntil([&stopped] { return stopped; }));
+    EXPECT_EQ(this->thread.call([this] { return this->store->count("ragwort/instances/"); }), 0U);
+}
+
+} // namespace ragwort::platform
--- /dev/null
+++ b/unittests/Platform/StandIn.cpp
@@ -0,0 +1,252 @@
+/// \file
+/// The users' platform in small.
+#include "StandIn.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QUrl>
+#include <QUrlQuery>
+
+namespace ragwort::platform {
+
+static HttpResponse json(int status, const QJsonObject &object)
+{
+    return {.status = status, .headers = {}, .body = QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString()};
+}
+
+static std::map<std::string, std::string> queryOf(const std::string &target)
+{
+    std::map<std::string, std::string> values;
+    const QUrlQuery query(QUrl(QString::fromStdString(target)));
+    for (const auto &[name, value] : query.queryItems(QUrl::FullyDecoded)) {
+        values[name.toStdString()] = value.toStdString();
+    }
+    return values;
+}
+
+static std::string valueOf(const std::map<std::string, std::string> &query, const std::string &name)
+{
+    const auto found = query.find(name);
+    return found == query.end() ? std::string() : found->second;
+}
+
+StandInStore::StandInStore(EventLoop &eventLoop)
+    : loop(eventLoop), server(eventLoop, {.address = "127.0.0.1:0"}, [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
+        this->handle(request, exchange);
+    })
+{
+}
+
+void StandInStore::put(const std::string &key, const std::string &value, std::uint64_t lease)
+{
+    this->items[key] = {.value = value, .revision = ++this->revision, .lease = lease};
+    this->changes.push_back({.revision = this->revision, .key = key});
+    this->wakeWatches();
+}
+
+void StandInStore::remove(const std::string &key)
+{
+    if (this->items.erase(key) == 0) {
+        return;
+    }
+    this->changes.push_back({.revision = ++this->revision, .key = key, .deleted = true});
+    this->wakeWatches();
+}
+
+void StandInStore::compact()
+{
+    this->changes.clear();
+    this->oldestRevision = this->revision;
+    for (const Watch &watch : std::exchange(this->watches, {})) {
+        watch.exchange->drop();
+    }
+}
+
+std::size_t StandInStore::count(const std::string &prefix) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->items.begin(), this->items.end(), [&prefix](const auto &item) { return item.first.starts_with(prefix); }));
+}
+
+QJsonObject StandInStore::itemObject(const std::string &key, const Item &item) const
+{
+    return {{"key", QString::fromStdString(key)},
+            {"value", QString::fromLatin1(QByteArray::fromStdString(item.value).toBase64())},
+            {"revision", static_cast<qint64>(item.revision)},
+            {"created", static_cast<qint64>(item.revision)},
+            {"lease", static_cast<qint64>(item.lease)}};
+}
+
+void StandInStore::handle(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange)
+{
+    ++this->calls;
+    if (this->mood == Mood::silent) {
+        return;
+    }
+    if (this->mood == Mood::refuses) {
+        exchange->respond(json(503, {}));
+        return;
+    }
+    const std::string path = request.target.substr(0, request.target.find('?'));
+    if (path == "/kv-range") {
+        this->answerRange(queryOf(request.target), exchange);
+    } else if (path == "/kv-watch") {
+        this->answerWatch(queryOf(request.target), exchange);
+    } else if (path == "/kv-txn") {
+        this->answerTransaction(request.body, exchange);
+    } else if (path == "/kv-lease") {
+        this->leases.insert(++this->lastLease);
+        exchange->respond(json(200, {{"lease", static_cast<qint64>(this->lastLease)}, {"ttl_ms", 10000}}));
+    } else if (path.starts_with("/kv-keep/")) {
+        const bool held = this->leases.contains(std::stoull(path.substr(9)));
+        exchange->respond(json(held ? 200 : 404, {{"ttl_ms", 10000}}));
+    } else if (path.starts_with("/kv-lease-end/")) {
+        const std::uint64_t lease = std::stoull(path.substr(14));
+        this->leases.erase(lease);
+        std::vector<std::string> ended;
+        for (const auto &[key, item] : this->items) {
+            if (item.lease == lease) {
+                ended.push_back(key);
+            }
+        }
+        for (const std::string &key : ended) {
+            this->remove(key);
+        }
+        exchange->respond(json(200, {}));
+    } else {
+        exchange->respond(json(404, {}));
+    }
+}
+
+void StandInStore::answerRange(const std::map<std::string, std::string> &query, const std::shared_ptr<HttpExchange> &exchange) const
+{
+    // Small pages, so that every list is read in several calls.
+    static constexpr int PAGE = 4;
+    const std::string prefix = valueOf(query, "prefix");
+    QJsonArray page;
+    bool more = false;
+    for (auto item = this->items.upper_bound(valueOf(query, "after")); item != this->items.end(); ++item) {
+        if (!item->first.starts_with(prefix)) {
+            continue;
+        }
+        if (page.size() == PAGE) {
+            more = true;
+            break;
+        }
+        page.append(this->itemObject(item->first, item->second));
+    }
+    exchange->respond(json(200, {{"items", page}, {"has_more", more}, {"current_rev", static_cast<qint64>(this->revision)}}));
+}
+
+void StandInStore::answerWatch(const std::map<std::string, std::string> &query, const std::shared_ptr<HttpExchange> &exchange)
+{
+    const Watch watch{.prefix = valueOf(query, "prefix"), .after = std::stoull(valueOf(query, "after")), .exchange = exchange, .number = ++this->lastWatch};
+    if (watch.after < this->oldestRevision) {
+        exchange->respond(json(410, {}));
+        return;
+    }
+    if (this->tryWatch(watch)) {
+        return;
+    }
+    this->watches.push_back(watch);
+    this->loop.callAfter(std::chrono::milliseconds(std::stoll(valueOf(query, "wait_ms"))), [this, number = watch.number] {
+        const auto found = std::find_if(this->watches.begin(), this->watches.end(), [number](const Watch &each) { return each.number == number; });
+        if (found != this->watches.end()) {
+            found->exchange->respond(json(200, {{"events", QJsonArray()}, {"current_rev", static_cast<qint64>(this->revision)}}));
+            this->watches.erase(found);
+        }
+    });
+}
+
+bool StandInStore::tryWatch(const Watch &watch) const
+{
+    QJsonArray events;
+    for (const Change &change : this->changes) {
+        if (change.revision <= watch.after || !change.key.starts_with(watch.prefix)) {
+            continue;
+        }
+        const auto item = this->items.find(change.key);
+        if (change.deleted) {
+            events.append(QJsonObject{{"key", QString::fromStdString(change.key)}, {"revision", static_cast<qint64>(change.revision)}, {"deleted", true}});
+        } else if (item != this->items.end() && item->second.revision == change.revision) {
+            events.append(this->itemObject(change.key, item->second));
+        }
+    }
+    if (events.isEmpty()) {
+        return false;
+    }
+    watch.exchange->respond(json(200, {{"events", events}, {"current_rev", static_cast<qint64>(this->revision)}}));
+    return true;
+}
+
+void StandInStore::wakeWatches()
+{
+    if (this->mood == Mood::sound) {
+        std::erase_if(this->watches, [this](const Watch &watch) { return this->tryWatch(watch); });
+    }
+}
+
+void StandInStore::answerTransaction(const std::string &body, const std::shared_ptr<HttpExchange> &exchange)
+{
+    const QJsonObject transaction = QJsonDocument::fromJson(QByteArray::fromStdString(body)).object();
+    for (const QJsonValue &each : transaction.value("puts").toArray()) {
+        const QJsonObject item = each.toObject();
+        const std::string key = item.value("key").toString().toStdString();
+        const auto lease = static_cast<std::uint64_t>(item.value("lease").toInteger());
+        if (key.starts_with("op/") || key.starts_with("servers/")) {
+            exchange->respond(json(403, {}));
+            return;
+        }
+        if (lease != 0 && !this->leases.contains(lease)) {
+            exchange->respond(json(404, {}));
+            return;
+        }
+        this->put(key, QByteArray::fromBase64(item.value("value").toString().toLatin1()).toStdString(), lease);
+    }
+    exchange->respond(json(200, {{"revision", static_cast<qint64>(this->revision)}}));
+}
+
+StandInServer::StandInServer(EventLoop &eventLoop, std::string serverId)
+    : id(std::move(serverId)), server(eventLoop, {.address = "127.0.0.1:0"}, [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
+        this->handle(request, exchange);
+    })
+{
+}
+
+void StandInServer::handle(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange)
+{
+    this->lastRequest = request;
+    HttpResponse response{.status = 200, .contentType = "application/octet-stream", .headers = {}, .body = std::string(16, this->id.back())};
+    const std::string requestId(request.header("X-Request-Id"));
+    response.headers.push_back({.name = "X-Request-Id", .value = this->mood == Mood::crosses ? "another" : requestId});
+    if (this->mood != Mood::lacksSignature) {
+        response.headers.push_back({.name = "X-Server-Stamp", .value = this->id + "." + requestId});
+    }
+    response.headers.push_back({.name = "X-Server-Load", .value = "1,0,2"});
+    switch (this->mood) {
+    case Mood::sheds:
+        exchange->respond({.status = 503, .headers = {{.name = "X-Not-Run", .value = "1"}}, .body = {}});
+        return;
+    case Mood::misdirected:
+        exchange->respond({.status = 421, .headers = {{.name = "X-Instance-Id", .value = "other"}}, .body = {}});
+        return;
+    case Mood::silent:
+        ++this->runs;
+        exchange->onAbandoned([this] { ++this->abandoned; });
+        this->held.push_back(exchange);
+        return;
+    case Mood::losesAnswers:
+        ++this->runs;
+        exchange->drop();
+        return;
+    case Mood::failing:
+        response.status = 500;
+        break;
+    default:
+        break;
+    }
+    ++this->runs;
+    exchange->respond(response);
+}
+
+} // namespace ragwort::platform
--- a/unittests/Platform/StoreFormatTest.cpp
+++ b/unittests/Platform/StoreFormatTest.cpp
@@ -56,13 +56,13 @@
 {
     const std::string good = SERVER;
     const std::vector<std::pair<std::string, std::string>> spoilt = {{R"("state":"ready")", R"("state":"resting")"},
-                                                                    {R"("slots":2)", R"("slots":"2")"},
-                                                                    {R"("slots":2)", R"("slots":0)"},
-                                                                    {R"("addr":"10.128.0.9:8080")", R"("addr":"somewhere")"},
-                                                                    {R"("addr":"10.128.0.9:8080",)", ""},
-                                                                    {R"("zone":"a")", R"("zone":7)"},
-                                                                    {R"("born":1700000000000)", R"("born":1700000000000.5)"},
-                                                                    {R"("sequence":4)", R"("sequence":null)"}};
+                                                                     {R"("slots":2)", R"("slots":"2")"},
+                                                                     {R"("slots":2)", R"("slots":0)"},
+                                                                     {R"("addr":"10.128.0.9:8080")", R"("addr":"somewhere")"},
+                                                                     {R"("addr":"10.128.0.9:8080",)", ""},
+                                                                     {R"("zone":"a")", R"("zone":7)"},
+                                                                     {R"("born":1700000000000)", R"("born":1700000000000.5)"},
+                                                                     {R"("sequence":4)", R"("sequence":null)"}};
     for (const auto &[from, to] : spoilt) {
         std::string text = good;
         text.replace(text.find(from), from.size(), to);
