--- a/include/ragwortcart/Control/ServerRegistry.h
+++ b/include/ragwortcart/Control/ServerRegistry.h
@@ -75,6 +75,8 @@
     void updateBarriers(const Server &server) const;
     void updateShare(const Server &server, const RouteTable &routes) const;
     int instancesIn(const std::string &domain) const;
+    /// How many instances come before this one in the order in which they may hold connections to the server.
+    int ownerRank(const Server &server) const;
 
     Options options;
     std::map<std::string, Server> servers;
--- a/include/ragwortcart/Kernel/ServerRecord.h
+++ b/include/ragwortcart/Kernel/ServerRecord.h
@@ -112,6 +112,9 @@
     std::atomic<std::uint32_t> barriers{0};
     /// In another failure domain than this instance.
     std::atomic<bool> foreign{false};
+    /// False when the server's connections do not suffice for all instances and others hold them: then it is used only if
+    /// no other replica is left.
+    std::atomic<bool> owned{true};
     std::atomic<int> inFlight{0};
     /// This instance's share of the server's connections; the shares of all instances sum to at most the server's limit.
     std::atomic<int> warmShare{0};
--- a/lib/Control/ServerRegistry.cpp
+++ b/lib/Control/ServerRegistry.cpp
@@ -2,6 +2,8 @@
 /// Backend servers by their entries, and this instance's shares of them.
 #include "ragwortcart/Control/ServerRegistry.h"
 
+#include "ragwortcart/Support/Hash.h"
+
 #include <algorithm>
 
 namespace ragwort {
@@ -10,6 +12,9 @@
 static constexpr Duration COLD_WINDOW = std::chrono::milliseconds(1020);
 /// Interval for instances that may not send to a cold server at all.
 static constexpr Duration NEVER = std::chrono::hours(24);
+/// The part of a server's connections that owners may hold when there are fewer of them than instances, in percent; the rest
+/// is for instances that see another list, and for those that have no other replica left.
+static constexpr int OWNED_PERCENT = 85;
 /// Room left for instances that start before the others have heard of them.
 static constexpr int JOINING_INSTANCES = 1;
 
@@ -142,6 +147,23 @@
     return static_cast<int>(std::count_if(this->instances.begin(), this->instances.end(), here));
 }
 
+int ServerRegistry::ownerRank(const Server &server) const
+{
+    const std::uint64_t seed = stableHash(server.entry.id);
+    const bool near = server.entry.domain == this->options.domain;
+    const std::uint64_t own = stableHash(this->options.instance, seed);
+    int before = 0;
+    for (const auto &[name, domain] : this->instances) {
+        const bool otherNear = domain == server.entry.domain;
+        const bool closer = otherNear && !near;
+        const bool equallyClose = otherNear == near;
+        if (name != this->options.instance && (closer || (equallyClose && stableHash(name, seed) < own))) {
+            ++before;
+        }
+    }
+    return before;
+}
+
 void ServerRegistry::updateBarriers(const Server &server) const
 {
     server.record->setBarrier(ServerRecord::draining, server.entry.draining);
@@ -155,7 +177,9 @@
         return;
     }
     const int sharers = this->liveInstances() + JOINING_INSTANCES;
-    server.record->warmShare.store(std::max(1, service->second.connections / sharers));
+    const int connections = service->second.connections;
+    server.record->warmShare.store(std::max(1, connections / sharers));
+    server.record->owned.store(connections >= sharers || this->ownerRank(server) < connections * OWNED_PERCENT / 100);
     // The instances of a cold server's own failure domain divide what it bears; the others leave it alone.
     const int owners = this->instancesIn(server.entry.domain);
     const bool owner = owners == 0 || server.entry.domain == this->options.domain;
--- a/lib/Kernel/AttemptSteps.cpp
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -21,6 +21,7 @@
     };
     std::vector<ServerPointer> usable;
     std::vector<ServerPointer> ejected;
+    std::vector<ServerPointer> notOwned;
     const bool crossDomains = this->topology.get()->mayCrossDomains(now);
     for (const ServerPointer &server : part.replicas) {
         const bool outOfBounds = server->foreign.load(std::memory_order_relaxed) && !crossDomains;
@@ -28,12 +29,19 @@
             continue;
         }
         const bool avoided = server->isEjected(now) || server->isAnnouncedCold(now);
+        if (!server->owned.load(std::memory_order_relaxed)) {
+            notOwned.push_back(server);
+            continue;
+        }
         (avoided ? ejected : usable).push_back(server);
     }
     if (usable.empty()) {
         // Ejection is a preference: rather a suspect replica than none.
         usable = std::move(ejected);
     }
+    if (usable.empty()) {
+        usable = std::move(notOwned);
+    }
     anyUsable = !usable.empty();
     std::erase_if(usable, [now](const ServerPointer &server) { return !server->hasPermit(now); });
     return usable;
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -11,8 +11,11 @@
 static constexpr Duration WATCH_WAIT = std::chrono::seconds(4);
 /// The same after a failure: a call that was sent into a cut connection must not hide that the store answers again.
 static constexpr Duration PROBE_WAIT = std::chrono::milliseconds(300);
-/// Between the events of one watch and the next watch, so that changes in a series come together.
-static constexpr Duration EVENT_PAUSE = std::chrono::milliseconds(250);
+/// Between the events of one watch and the next watch, so that changes in a series come together. It grows with the number
+/// of instances, all of which pay for a call at each change, up to what the bounds on spreading a change leave.
+static constexpr Duration SHORTEST_EVENT_PAUSE = std::chrono::milliseconds(250);
+static constexpr Duration EVENT_PAUSE_PER_INSTANCE = std::chrono::milliseconds(20);
+static constexpr Duration LONGEST_EVENT_PAUSE = std::chrono::milliseconds(1400);
 static constexpr Duration FIRST_RETRY = std::chrono::milliseconds(100);
 static constexpr Duration LONGEST_RETRY = std::chrono::milliseconds(800);
 /// The entry of an instance that has died goes after this time.
@@ -137,7 +140,8 @@
         this->rebuild();
     }
     this->scheduleLapse();
-    const Duration pause = result->events.empty() ? Duration::zero() : EVENT_PAUSE;
+    const Duration eventPause = std::clamp(EVENT_PAUSE_PER_INSTANCE * this->registry.liveInstances(), SHORTEST_EVENT_PAUSE, LONGEST_EVENT_PAUSE);
+    const Duration pause = result->events.empty() ? Duration::zero() : eventPause;
     QTimer::singleShot(milliseconds(pause), this, [this] { this->watch(); });
 }
 
--- a/unittests/Control/ServerRegistryTest.cpp
+++ b/unittests/Control/ServerRegistryTest.cpp
@@ -130,4 +130,43 @@
     EXPECT_TRUE(this->find("f")->tryAcquire(this->now + seconds(4)));
 }
 
+TEST(ServerRegistryOwnersTest, whenConnectionsAreFewerThanInstancesOnlyOwnersHoldThemAndEveryoneOwnsAReplicaOfEachShard)
+{
+    static constexpr int INSTANCES = 74;
+    static constexpr int CONNECTIONS = 69;
+    static const std::vector<std::string> DOMAINS = {"a", "b", "c"};
+    RouteTable routes;
+    std::map<std::string, int> held;
+    for (int self = 0; self < INSTANCES; ++self) {
+        ServerRegistry registry({.instance = "i" + std::to_string(self), .domain = DOMAINS[self % 3]});
+        for (int other = 0; other < INSTANCES; ++other) {
+            registry.setInstance({.name = "i" + std::to_string(other), .domain = DOMAINS[other % 3]});
+        }
+        for (int shard = 0; shard < 36; ++shard) {
+            const std::string service = "s" + std::to_string(shard);
+            routes.services[service] = {.connections = CONNECTIONS};
+            for (const std::string &domain : DOMAINS) {
+                registry.set({.id = service + domain, .service = service, .address = "10.0.0.1:80", .domain = domain, .slots = 4}, Instant(seconds(1)));
+            }
+        }
+        const std::shared_ptr<const Topology> topology = registry.build(routes);
+        for (const auto &[service, servers] : topology->services) {
+            int owned = 0;
+            for (const ServerPointer &server : servers) {
+                if (server->owned) {
+                    ++owned;
+                    held[server->identity.id] += server->warmShare;
+                    EXPECT_EQ(server->warmShare, 1);
+                } else {
+                    EXPECT_TRUE(server->foreign);
+                }
+            }
+            EXPECT_GE(owned, 1) << service;
+        }
+    }
+    for (const auto &[server, connections] : held) {
+        EXPECT_LE(connections, CONNECTIONS) << server;
+    }
+}
+
 } // namespace ragwort
--- a/unittests/Kernel/ForwardStepsTest.cpp
+++ b/unittests/Kernel/ForwardStepsTest.cpp
@@ -376,4 +376,20 @@
     EXPECT_EQ(harness.takeSends().size(), 1U);
 }
 
+TEST(ForwardStepsTest, aServerOfOtherOwnersIsUsedOnlyWhenNoOtherReplicaIsLeft)
+{
+    RouteHarness harness;
+    harness.servers["one-c"]->owned = false;
+    for (int query = 0; query < 6; ++query) {
+        harness.ask("single");
+    }
+    for (const SubRequest &request : harness.takeSends()) {
+        EXPECT_NE(request.serverId, "one-c");
+    }
+    harness.servers["one-a"]->setBarrier(ServerRecord::gone, true);
+    harness.servers["one-b"]->setBarrier(ServerRecord::gone, true);
+    harness.ask("single");
+    EXPECT_EQ(harness.takeSends().at(0).serverId, "one-c");
+}
+
 } // namespace ragwort
