--- a/include/ragwortcart/Model/Configuration.h
+++ b/include/ragwortcart/Model/Configuration.h
@@ -68,6 +68,8 @@
     double extraBurst = 60.0;
     /// Queries admitted at once per slot of the scarcest service.
     int admissionPerSlot = 2;
+    /// Queries that each instance admits at once, however many instances there are: callers do not spread evenly.
+    int minimumAdmission = 1;
     /// Each start of a server comes with a new identity in its instance list, so that none can be restarted unnoticed.
     bool startsAnnounced = false;
     std::string balancePolicy = "least-loaded";
--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -47,6 +47,8 @@
         MetricsRegistry &metrics;
         ExtraLoadLimits extraLoad;
         ServerRegistry::Options registry;
+        /// A watch ends after this time without events, so that a silent connection is noticed within it.
+        Duration watchWait = std::chrono::seconds(4);
         /// Called in the main thread when a version of the routes comes into force.
         std::function<void(const RouteTable &)> onRoutes;
     };
--- a/include/ragwortcart/Runtime/RouteProcess.h
+++ b/include/ragwortcart/Runtime/RouteProcess.h
@@ -28,6 +28,8 @@
     std::size_t maximumConnections = 2000;
     /// From the order to stop to the moment at which the process is killed.
     Duration stopTime = std::chrono::seconds(6);
+    /// How long a watch of the store lasts without events.
+    Duration watchWait = std::chrono::seconds(4);
     ExtraLoadLimits extraLoad;
     /// Requests a second that a cold server may get, as a multiple of its own rate and an addition.
     double coldRateFactor = 1.5;
--- a/lib/Kernel/QueryEngine.cpp
+++ b/lib/Kernel/QueryEngine.cpp
@@ -192,7 +192,7 @@
     const bool forwarded = resolved->route != nullptr;
     const int slots = forwarded ? routeSlots(*current, *resolved->route) : scarcestSlots(*current, resolved->key, resolved->group->slots);
     const int instances = std::max(current->liveInstances, 1);
-    group.limit = std::max(1, (slots * resolved->group->admissionPerSlot + instances - 1) / instances);
+    group.limit = std::max(resolved->group->minimumAdmission, (slots * resolved->group->admissionPerSlot + instances - 1) / instances);
     group.limitVersion = current->version;
     return group.limit;
 }
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -7,9 +7,7 @@
 
 namespace ragwort {
 
-/// A watch ends after this time without events, so that a silent connection is noticed within it.
-static constexpr Duration WATCH_WAIT = std::chrono::seconds(4);
-/// The same after a failure: a call that was sent into a cut connection must not hide that the store answers again.
+/// How long a watch lasts after a failure: a call that was sent into a cut connection must not hide that the store answers again.
 static constexpr Duration PROBE_WAIT = std::chrono::milliseconds(300);
 /// Between the events of one watch and the next watch, so that changes in a series come together. It grows with the number
 /// of instances, all of which pay for a call at each change, up to what the bounds on spreading a change leave.
@@ -27,6 +25,7 @@
 static constexpr double HEDGE_SHARE = 0.5;
 /// Queries of a route admitted at once per slot of its scarcest shard: while one shard holds a query up, the others idle.
 static constexpr int ADMISSION_PER_SLOT = 6;
+static constexpr int MINIMUM_ADMISSION = 4;
 
 static int milliseconds(Duration duration)
 {
@@ -121,7 +120,7 @@
         return;
     }
     this->storeCalls.add();
-    const Duration wait = this->failuresInRow == 0 ? WATCH_WAIT : PROBE_WAIT;
+    const Duration wait = this->failuresInRow == 0 ? this->options.watchWait : PROBE_WAIT;
     this->options.store.watch({}, this->revision, wait, [this](const Result<StoreEvents> &events) { this->onEvents(events); });
 }
 
@@ -232,6 +231,7 @@
         route.group.extraBurst = this->options.extraLoad.burst;
         route.group.hedgeShare = this->options.extraLoad.ratio * HEDGE_SHARE;
         route.group.admissionPerSlot = ADMISSION_PER_SLOT;
+        route.group.minimumAdmission = MINIMUM_ADMISSION;
     }
     this->routes = table;
     auto next = std::make_shared<Configuration>(*this->options.configuration.load());
--- a/lib/Runtime/RouteProcess.cpp
+++ b/lib/Runtime/RouteProcess.cpp
@@ -32,6 +32,7 @@
                             .domain = this->options.settings.domain,
                             .coldRateFactor = this->options.settings.coldRateFactor,
                             .coldRateAddition = this->options.settings.coldRateAddition},
+               .watchWait = this->options.settings.watchWait,
                .onRoutes =
                    [this](const RouteTable &table) {
                        this->worker.setCallerBounds({.maximumHeaderBytes = table.limits.headerBytes,
--- a/unittests/Kernel/ForwardStepsTest.cpp
+++ b/unittests/Kernel/ForwardStepsTest.cpp
@@ -392,4 +392,17 @@
     EXPECT_EQ(harness.takeSends().at(0).serverId, "one-c");
 }
 
+TEST(ForwardStepsTest, aFewCallersAtOnceAreServedByEachOfManyInstances)
+{
+    RouteHarness harness;
+    harness.route("gather").group.minimumAdmission = 4;
+    harness.instances = 74;
+    harness.publish();
+    for (int query = 0; query < 4; ++query) {
+        harness.ask("gather");
+        EXPECT_EQ(harness.takeSends().size(), 10U);
+    }
+    EXPECT_TRUE(harness.replies.empty());
+}
+
 } // namespace ragwort
