--- a/include/ragwortcart/Kernel/QueryEngine.h
+++ b/include/ragwortcart/Kernel/QueryEngine.h
@@ -110,7 +110,7 @@
     void onCallerGone(const CallerGone &event, Instant now);
     void onClaimDecided(const ClaimDecided &event, Instant now);
     void onAccusationSpread(const AccusationSpread &event, Instant now);
-    void refuse(const QueryRequest &request, Reason reason, Duration retryAfter);
+    void refuse(const QueryRequest &request, Reason reason, Duration retryAfter, std::string detail = {});
     void admit(const QueryRequest &request, const std::string &key, Instant now);
     void begin(ActiveQuery &query, Instant now);
     void admitWaiting(Instant now);
--- a/include/ragwortcart/Model/Query.h
+++ b/include/ragwortcart/Model/Query.h
@@ -175,7 +175,8 @@
     bool replayed = false;
     /// When a refused caller should come back.
     Duration retryAfter{};
-    /// Of a forwarded request: parts asked for and parts answered.
+    /// Of a forwarded request: the version of the routes, parts asked for and parts answered.
+    std::uint64_t routesVersion = 0;
     int shardsAsked = 0;
     int shardsAnswered = 0;
     int attempts = 0;
--- a/include/ragwortcart/Support/Log.h
+++ b/include/ragwortcart/Support/Log.h
@@ -3,7 +3,9 @@
 #ifndef RAGWORTCART_SUPPORT_LOG_H
 #define RAGWORTCART_SUPPORT_LOG_H
 
+#include <cstdint>
 #include <initializer_list>
+#include <mutex>
 #include <span>
 #include <string>
 #include <string_view>
@@ -31,6 +33,27 @@
     logEvent(level, event, std::span<const LogField>(fields.begin(), fields.size()));
 }
 
+/// Bounds the lines of one second; counts what it refuses. Any thread.
+class LogLimiter
+{
+public:
+    explicit LogLimiter(int maximumPerSecond) : maximum(maximumPerSecond)
+    {
+    }
+
+    /// Whether one more line may be written in \p second; \p suppressedBefore is what earlier seconds left out and was not told.
+    bool admit(std::int64_t second, std::uint64_t &suppressedBefore);
+
+private:
+    void start(std::int64_t second);
+
+    std::mutex mutex;
+    const int maximum;
+    std::int64_t currentSecond = 0;
+    int written = 0;
+    std::uint64_t suppressed = 0;
+};
+
 /// Formats the fields as they appear in a log line; exposed for tests.
 std::string formatLogFields(std::span<const LogField> fields);
 
--- a/lib/Kernel/ForwardSteps.cpp
+++ b/lib/Kernel/ForwardSteps.cpp
@@ -224,6 +224,7 @@
         answer.state = RunState::notRun;
         answer.retryAfter = this->returnTime(query.request, Duration::zero());
     }
+    answer.routesVersion = query.configuration->routes->version;
     answer.shardsAnswered = static_cast<int>(countParts(query, PartState::done));
     answer.shardsAsked = static_cast<int>(query.parts.size());
     this->report(reason, query.request.id);
--- a/lib/Kernel/QueryEngine.cpp
+++ b/lib/Kernel/QueryEngine.cpp
@@ -121,9 +121,9 @@
     return *state;
 }
 
-void QueryEngine::refuse(const QueryRequest &request, Reason reason, Duration retryAfter)
+void QueryEngine::refuse(const QueryRequest &request, Reason reason, Duration retryAfter, std::string detail)
 {
-    this->report(reason, request.id);
+    this->report(reason, request.id, {}, std::move(detail));
     Answer answer{.query = request.id, .state = RunState::notRun, .reason = std::string(toString(reason)), .retryAfter = retryAfter};
     answer.coverage.missing.push_back({.begin = 0, .end = KEY_SPACE_END});
     this->actions.emplace_back(ReplyToCaller{.answer = std::move(answer)});
@@ -236,7 +236,9 @@
     const std::optional<Instant> giveUpAt = objective ? std::optional(request.arrival + resolved->route->latencyObjective / 2) : std::nullopt;
     const bool inTime = now + wait + group.meanDuration < useful;
     if (!inTime || !this->queue.push({.request = request, .groupKey = key, .urgency = kind->urgency, .giveUpAt = giveUpAt})) {
-        this->refuse(request, Reason::refusedOverload, this->returnTime(request, wait));
+        const std::string detail = "places " + std::to_string(limit) + " line " + std::to_string(this->queue.sizeAhead(kind->urgency, key)) + " wait_us "
+            + std::to_string(wait.count()) + " mean_us " + std::to_string(group.meanDuration.count());
+        this->refuse(request, Reason::refusedOverload, this->returnTime(request, wait), detail);
         return;
     }
     this->report(Reason::queued, request.id);
@@ -246,7 +248,7 @@
 void QueryEngine::expireWaiting(Instant now)
 {
     for (const WaitingQuery &expired : this->queue.popExpired(now + REPLY_MARGIN)) {
-        this->refuse(expired.request, Reason::refusedOverload, this->returnTime(expired.request, Duration::zero()));
+        this->refuse(expired.request, Reason::refusedOverload, this->returnTime(expired.request, Duration::zero()), "waited in line");
     }
     if (this->queue.size() == 0 || this->queueTimerArmed) {
         return;
--- a/lib/Runtime/Worker.cpp
+++ b/lib/Runtime/Worker.cpp
@@ -296,6 +296,7 @@
               {.key = "run", .value = std::string(toString(answer.state))},
               {.key = "elapsed_us", .value = std::to_string(elapsed.count())},
               {.key = "shards", .value = std::to_string(answer.shardsAnswered) + '/' + std::to_string(answer.shardsAsked)},
+              {.key = "routes", .value = std::to_string(answer.routesVersion)},
               {.key = "attempts", .value = std::to_string(answer.attempts)},
               {.key = "hedges", .value = std::to_string(answer.hedges)},
               {.key = "retries", .value = std::to_string(answer.retries)},
@@ -319,6 +320,8 @@
     case Reason::retryBudgetSpent:
     case Reason::hedgeBudgetSpent:
     case Reason::objectiveReached:
+    case Reason::refusedOverload:
+    case Reason::attemptTimedOut:
         return true;
     default:
         return false;
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -2,14 +2,24 @@
 /// Structured logs on log4cxx.
 #include "ragwortcart/Support/Log.h"
 
+#include "ragwortcart/Support/Clock.h"
+
+#include <atomic>
 #include <cctype>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <utility>
 
 namespace ragwort {
 
+/// Lines below level warning that a process may write in one second.
+static constexpr int MAXIMUM_LINES_PER_SECOND = 400;
+/// Lines that may wait for a slow reader of the log; further ones are dropped, so that no thread waits for it.
+static constexpr int WAITING_LINES = 1024;
+
 static std::string escapeValue(std::string_view value)
 {
     bool quoted = value.empty();
@@ -74,15 +84,58 @@
     const auto console
         = std::make_shared<log4cxx::ConsoleAppender>(layout, toOutput ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::resetConfiguration();
-    log4cxx::BasicConfigurator::configure(console);
+    const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->setBlocking(false);
+    queue->setBufferSize(WAITING_LINES);
+    queue->addAppender(console);
+    log4cxx::BasicConfigurator::configure(queue);
     rootLogger()->setLevel(toLog4cxx(threshold));
 }
 
+void LogLimiter::start(std::int64_t second)
+{
+    this->currentSecond = second;
+    this->written = 0;
+}
+
+bool LogLimiter::admit(std::int64_t second, std::uint64_t &suppressedBefore)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    suppressedBefore = 0;
+    if (second != this->currentSecond) {
+        this->start(second);
+        suppressedBefore = std::exchange(this->suppressed, 0);
+    }
+    if (this->written >= this->maximum) {
+        ++this->suppressed;
+        return false;
+    }
+    ++this->written;
+    return true;
+}
+
+/// False when the line has to be left out; tells of those that were left out before.
+static bool admitLine(const log4cxx::LoggerPtr &logger, LogLevel level)
+{
+    static LogLimiter limiter(MAXIMUM_LINES_PER_SECOND);
+    if (level == LogLevel::warning || level == LogLevel::error) {
+        return true;
+    }
+    std::uint64_t suppressed = 0;
+    const std::int64_t second = std::chrono::duration_cast<std::chrono::seconds>(steadyNow().time_since_epoch()).count();
+    const bool admitted = limiter.admit(second, suppressed);
+    if (suppressed > 0) {
+        logger->forcedLog(
+            log4cxx::Level::getWarn(), "event=log-suppressed lines=" + std::to_string(suppressed), log4cxx::spi::LocationInfo::getLocationUnavailable());
+    }
+    return admitted;
+}
+
 void logEvent(LogLevel level, std::string_view event, std::span<const LogField> fields)
 {
     const log4cxx::LoggerPtr logger = rootLogger();
     const log4cxx::LevelPtr target = toLog4cxx(level);
-    if (!logger->isEnabledFor(target)) {
+    if (!logger->isEnabledFor(target) || !admitLine(logger, level)) {
         return;
     }
     std::string line = "event=" + std::string(event);
--- a/unittests/Support/LogTest.cpp
+++ b/unittests/Support/LogTest.cpp
@@ -22,4 +22,20 @@
     EXPECT_EQ(format({{.key = "a", .value = ""}}), "a=\"\"");
 }
 
+TEST(LogLimiterTest, linesBeyondTheBoundOfASecondAreCountedAndToldLater)
+{
+    LogLimiter limiter(3);
+    std::uint64_t suppressed = 0;
+    int admitted = 0;
+    for (int line = 0; line < 10; ++line) {
+        admitted += limiter.admit(1, suppressed) ? 1 : 0;
+        EXPECT_EQ(suppressed, 0U);
+    }
+    EXPECT_EQ(admitted, 3);
+    EXPECT_TRUE(limiter.admit(2, suppressed));
+    EXPECT_EQ(suppressed, 7U);
+    EXPECT_TRUE(limiter.admit(2, suppressed));
+    EXPECT_EQ(suppressed, 0U);
+}
+
 } // namespace ragwort
