--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -277,7 +277,9 @@
         this->lostSince = steadyNow();
         logEvent(LogLevel::warning, "dependency-lost", {{.key = "dependency", .value = "store"}, {.key = "error", .value = error.describe()}});
     }
-    const Duration pause = std::min(FIRST_RETRY * this->failuresInRow, LONGEST_RETRY);
+    // A store that has dropped its history answers: the list can be read at once.
+    const bool answers = error.code == Errc::historyGone && this->failuresInRow == 1;
+    const Duration pause = answers ? Duration::zero() : std::min(FIRST_RETRY * this->failuresInRow, LONGEST_RETRY);
     const bool listAgain = relist || this->revision == 0;
     QTimer::singleShot(milliseconds(pause), this, [this, listAgain] {
         if (listAgain) {
