When the allowance is short, slow parts that the answer needs are hedged first

Cause: a slow part counted as needed only once other parts had failed, so that hedges that merely complete an answer spent what those that decide over it lacked. Change: a slow part is needed if the parts that are done are not enough.

--- a/lib/Kernel/ForwardSteps.cpp
+++ b/lib/Kernel/ForwardSteps.cpp
@@ -151,8 +151,10 @@
     if (query.route == nullptr) {
         return true;
     }
-    const std::size_t failed = countParts(query, PartState::failed);
-    const bool needed = !isEnough(query, query.parts.size() - failed - 1, query.parts.size());
+    // A failed part is needed if the others can't be enough without it, a slow one if those that are done are not enough.
+    const std::size_t all = query.parts.size();
+    const std::size_t others = purpose == ExtraPurpose::retry ? all - countParts(query, PartState::failed) - 1 : countParts(query, PartState::done);
+    const bool needed = !isEnough(query, others, all);
     if (purpose == ExtraPurpose::retry && needed) {
         return true;
     }
--- a/unittests/Kernel/ForwardStepsTest.cpp
+++ b/unittests/Kernel/ForwardStepsTest.cpp
@@ -405,4 +405,35 @@
     EXPECT_TRUE(harness.replies.empty());
 }
 
+TEST(ForwardStepsTest, whenTheAllowanceIsShortSlowPartsAreHedgedOnlyIfTheAnswerNeedsThem)
+{
+    RouteHarness harness;
+    harness.learn(milliseconds(5), 40);
+    // The hedges of this many queries use up most of what an instance may save up.
+    harness.instances = 10;
+    harness.publishServers();
+    const auto hedgesWithSlowParts = [&harness](std::size_t slow) {
+        harness.ask();
+        std::vector<SubRequest> sends = harness.takeSends();
+        std::sort(sends.begin(), sends.end(), [](const SubRequest &left, const SubRequest &right) { return left.serverId < right.serverId; });
+        for (std::size_t index = slow; index < sends.size(); ++index) {
+            harness.answer(sends[index]);
+        }
+        harness.pass(milliseconds(60));
+        const std::vector<SubRequest> hedges = harness.takeSends();
+        for (const SubRequest &request : hedges) {
+            harness.answer(request);
+        }
+        harness.pass(milliseconds(3000));
+        harness.endCancelled();
+        return hedges.size();
+    };
+    std::size_t hedged = 1;
+    for (int query = 0; hedged == 1 && query < 10; ++query) {
+        hedged = hedgesWithSlowParts(1);
+    }
+    EXPECT_EQ(hedged, 0U);
+    EXPECT_EQ(hedgesWithSlowParts(2), 2U);
+}
+
 } // namespace ragwort
