A silent server is noted also by requests that may not be repeated

Cause: only hedges noted a server as silent, and a request that may not be repeated has none; servers that went dark got further ones for the whole deadline of 15 s. Most of what fails there are answers lost after the run, which nothing may repeat.

--- a/lib/Kernel/AttemptSteps.cpp
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -149,9 +149,6 @@
 {
     QueryPart &part = query.parts[partIndex];
     GroupState &state = this->groupState(query.key);
-    if (!query.kind->repeatable) {
-        return;
-    }
     const std::string &latencyKey = latencyKeyOf(query, *part.attempts.back().server);
     const std::optional<Duration> delay = state.hedge->delay(state.latencyFor(latencyKey), *query.group, query.kind->urgency);
     if (!delay || now + *delay >= query.request.deadline - REPLY_MARGIN) {
@@ -173,7 +170,7 @@
         }
     }
     const std::vector<ServerPointer> open = this->candidates(*query, query->parts[partIndex], now, anyUsable);
-    if (open.empty() || !mayAttempt(*query, query->parts[partIndex]) || !this->mayExposeAnother(*query, now)) {
+    if (!query->kind->repeatable || open.empty() || !mayAttempt(*query, query->parts[partIndex]) || !this->mayExposeAnother(*query, now)) {
         return;
     }
     GroupState &state = this->groupState(query->key);
--- a/unittests/Kernel/ForwardStepsTest.cpp
+++ b/unittests/Kernel/ForwardStepsTest.cpp
@@ -436,4 +436,27 @@
     EXPECT_EQ(hedgesWithSlowParts(2), 2U);
 }
 
+TEST(ForwardStepsTest, aDarkServerIsAvoidedByRequestsThatMayNotBeRepeated)
+{
+    RouteHarness harness;
+    for (int query = 0; query < 250; ++query) {
+        harness.ask("action");
+        harness.pass(milliseconds(5));
+        harness.answer(harness.takeSends().at(0));
+    }
+    harness.ask("action", std::chrono::seconds(10));
+    const std::string dark = harness.takeSends().at(0).serverId;
+    harness.pass(milliseconds(100));
+    EXPECT_TRUE(harness.takeSends().empty());
+    EXPECT_EQ(harness.servers[dark]->silentAttempts, 1);
+    int toDark = 0;
+    for (int query = 0; query < 20; ++query) {
+        harness.ask("action");
+        const SubRequest request = harness.takeSends().at(0);
+        toDark += request.serverId == dark ? 1 : 0;
+        harness.answer(request);
+    }
+    EXPECT_LE(toDark, 1);
+}
+
 } // namespace ragwort
