--- a/include/ragwortcart/Kernel/QueryEngine.h
+++ b/include/ragwortcart/Kernel/QueryEngine.h
@@ -148,6 +148,8 @@
     Duration returnTime(const QueryRequest &request, Duration expectedWait);
 
     // Attempts (AttemptSteps.cpp).
+    /// The open attempt that an answer belongs to. Without one the answer crossed a cancel and is the end of that request.
+    std::optional<FoundAttempt> findAnswered(QueryId id, AttemptId attempt, Instant now);
     static std::optional<FoundAttempt> findOpenAttempt(const ActiveQuery &query, AttemptId id);
     void dispatch(ActiveQuery &query, std::size_t partIndex, Instant now);
     bool sendAttempt(ActiveQuery &query, std::size_t partIndex, const ServerPointer &server, bool hedge, Instant now);
--- a/lib/Kernel/AttemptSteps.cpp
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -252,16 +252,24 @@
     return std::nullopt;
 }
 
+std::optional<QueryEngine::FoundAttempt> QueryEngine::findAnswered(QueryId id, AttemptId attempt, Instant now)
+{
+    const ActiveQuery *query = this->find(id);
+    const std::optional<FoundAttempt> found = query == nullptr ? std::nullopt : findOpenAttempt(*query, attempt);
+    if (!found) {
+        this->onSubEnded({.query = id, .attempt = attempt, .answered = true}, now);
+        this->report(Reason::lateAnswerDropped, id);
+    }
+    return found;
+}
+
 void QueryEngine::onSubAnswered(const SubAnswered &event, Instant now)
 {
-    ActiveQuery *query = this->find(event.query);
-    const std::optional<FoundAttempt> found = query == nullptr ? std::nullopt : findOpenAttempt(*query, event.attempt);
+    const std::optional<FoundAttempt> found = this->findAnswered(event.query, event.attempt, now);
     if (!found) {
-        // The answer may have crossed with a cancel: then it is also the end of that request.
-        this->onSubEnded({.query = event.query, .attempt = event.attempt, .answered = true}, now);
-        this->report(Reason::lateAnswerDropped, event.query);
         return;
     }
+    ActiveQuery *query = this->find(event.query);
     QueryPart &part = query->parts[found->part];
     PartAttempt &attempt = part.attempts[found->attempt];
     const ServerPointer server = attempt.server;
--- a/lib/Kernel/ForwardSteps.cpp
+++ b/lib/Kernel/ForwardSteps.cpp
@@ -94,14 +94,11 @@
 
 void QueryEngine::onForwardAnswered(const ForwardAnswered &event, Instant now)
 {
-    ActiveQuery *query = this->find(event.query);
-    const std::optional<FoundAttempt> found = query == nullptr ? std::nullopt : findOpenAttempt(*query, event.attempt);
+    const std::optional<FoundAttempt> found = this->findAnswered(event.query, event.attempt, now);
     if (!found) {
-        // The answer crossed with a cancel: it is also the end of that request.
-        this->onSubEnded({.query = event.query, .attempt = event.attempt, .answered = true}, now);
-        this->report(Reason::lateAnswerDropped, event.query);
         return;
     }
+    ActiveQuery *query = this->find(event.query);
     QueryPart &part = query->parts[found->part];
     PartAttempt &attempt = part.attempts[found->attempt];
     const bool merges = std::holds_alternative<ShardSet>(query->route->target);
