--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -93,17 +93,21 @@
 
     Options options;
     ServerRegistry registry;
+    /// The version in force; versions only rise. Null before the first.
     std::shared_ptr<const RouteTable> routes;
     std::set<std::string> domainsOut;
+    /// Everything up to this revision has been applied; 0 before the first list.
     StoreRevision revision = 0;
+    /// The lease under which this instance's own entry stands; 0 before the first.
     LeaseId lease = 0;
     bool leaving = false;
+    /// Set from the second failure in a row until the store answers; `lostSince` and the log go by it.
     bool storeLost = false;
     Instant lostSince{};
+    /// Watches and lists that failed since the store last answered one.
     int failuresInRow = 0;
+    /// Facts were applied that the published topology does not show yet.
     bool rebuildNeeded = false;
-    QTimer retryTimer;
-    QTimer leaseTimer;
     QTimer lapseTimer;
     std::atomic<bool> isReady{false};
     Counter &storeCalls;
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -35,8 +35,6 @@
 RouteControl::RouteControl(Options controlOptions)
     : options(std::move(controlOptions)), registry(this->options.registry), storeCalls(this->options.metrics.counter("ragwort_store_calls_total"))
 {
-    this->retryTimer.setSingleShot(true);
-    this->leaseTimer.setSingleShot(true);
     this->lapseTimer.setSingleShot(true);
     connect(&this->lapseTimer, &QTimer::timeout, this, [this] {
         if (this->registry.dropLapsed(steadyNow())) {
@@ -55,7 +53,6 @@
 void RouteControl::leave()
 {
     this->leaving = true;
-    this->leaseTimer.stop();
     if (this->lease != 0) {
         this->options.store.endLease(this->lease);
     }
@@ -308,7 +305,6 @@
     if (this->leaving) {
         return;
     }
-    this->leaseTimer.stop();
     this->storeCalls.add();
     this->options.store.grantLease(LEASE_LIFETIME, [this](const Result<StoreLease> &granted) {
         if (!granted) {
--- a/lib/Runtime/RouteProcess.cpp
+++ b/lib/Runtime/RouteProcess.cpp
@@ -51,6 +51,7 @@
               .gate = this->gate,
               .suspects = this->suspects,
               .metrics = this->metrics,
+              // Routes need neither claims nor accusations, and servers announce their warm-ups themselves.
               .control = [](const ControlRequest &) {},
               .callerProtocol = this->options.callerProtocol,
               .backendProtocol = this->options.backendProtocol,
--- a/lib/Runtime/Worker.cpp
+++ b/lib/Runtime/Worker.cpp
@@ -283,7 +283,9 @@
 
 void Worker::logAnswer(const Answer &answer, const OpenQuery &query, Duration elapsed, int status) const
 {
-    if (std::holds_alternative<std::monostate>(answer.forwarded) && answer.shardsAsked == 0 && answer.state == RunState::ran) {
+    // Answers of the own interface explain themselves to their callers; only its failures are logged.
+    const bool ownInterface = std::holds_alternative<std::monostate>(answer.forwarded) && answer.shardsAsked == 0;
+    if (ownInterface && answer.state == RunState::ran) {
         return;
     }
     logEvent(LogLevel::info,
