A test of a repartition that crosses a query

Parts of one answer come from the shards of one version: the query keeps the version that it was planned on. The test passes with the code as it stood; it had none of its own. No other source has changed.

--- a/unittests/Kernel/ForwardStepsTest.cpp
+++ b/unittests/Kernel/ForwardStepsTest.cpp
@@ -459,4 +459,37 @@
     EXPECT_LE(toDark, 1);
 }
 
+TEST(ForwardStepsTest, anAnswerComesFromTheShardsOfOneVersionAlsoWhenARepartitionCrossesTheQuery)
+{
+    RouteHarness harness;
+    harness.ask();
+    const std::vector<SubRequest> before = harness.takeSends();
+    harness.answer(before[0]);
+    harness.route("gather").target = ShardSet{.services = {"s0", "s1", "one"}, .greatestRecords = 3};
+    harness.table.version = 2;
+    harness.publish();
+    harness.ask();
+    const std::vector<SubRequest> after = harness.takeSends();
+    ASSERT_EQ(after.size(), 3U);
+    // A failed part of the crossed query is asked again of its own shard.
+    harness.fail(before[1], SubFailure::lost);
+    const std::vector<SubRequest> again = harness.takeSends();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].serverId.substr(0, 2), before[1].serverId.substr(0, 2));
+    harness.answer(again[0]);
+    for (std::size_t index = 2; index < before.size(); ++index) {
+        harness.answer(before[index]);
+    }
+    ASSERT_EQ(harness.replies.size(), 1U);
+    EXPECT_EQ(harness.replies[0].routesVersion, 1U);
+    EXPECT_EQ(mergedOf(harness.replies[0])->signatures.size(), 10U);
+    for (const SubRequest &request : after) {
+        harness.answer(request);
+    }
+    ASSERT_EQ(harness.replies.size(), 2U);
+    EXPECT_EQ(harness.replies[1].routesVersion, 2U);
+    EXPECT_EQ(mergedOf(harness.replies[1])->signatures.size(), 3U);
+    EXPECT_EQ(mergedOf(harness.replies[1])->missingShards, 0U);
+}
+
 } // namespace ragwort
