Two instances of each failure domain watch the store; the others hear of its changes from them

An instance that the store alone refuses heard of nothing. Ruled out: longer pauses or watches (they break the bound on spreading a change); stale reads at a tenth of the price (whether their revision is stale too is not told). Change: StoreSharing (lib/Control, no I/O) decides who relays (the two first of a domain by a hash), who listens to whom, when to ask the store oneself: a relay says so at its first lost watch, a silent one is left after 1.6 s, a gap is healed from the store. Relays that the store refuses listen to relays of other domains. Links are the product's own (websocketpp, CBOR). A list of the store now forgets instances that are not in it, and links that are no longer wanted are closed.

--- a/include/ragwortcart/Control/PeerExchange.h
+++ b/include/ragwortcart/Control/PeerExchange.h
@@ -110,6 +110,13 @@
     void handle(const std::string &peer, const PeerAccusation &told, Instant now);
     void handle(const std::string &peer, const PeerAccusationAck &ack, Instant now);
     void handle(const std::string &peer, const PeerWarmUp &warmUp, Instant now);
+    // Searches keep their configuration in documents; changes of the store are shared between instances that serve routes.
+    void handle(const std::string &, const PeerStoreDigest &, Instant)
+    {
+    }
+    void handle(const std::string &, const PeerStoreEvents &, Instant)
+    {
+    }
     void send(const std::string &peer, PeerMessage message);
     void sendToAll(const PeerMessage &message, const std::string &except = {});
     PeerDigest makeDigest(Instant now, bool withSequences) const;
--- a/include/ragwortcart/Control/PeerMessages.h
+++ b/include/ragwortcart/Control/PeerMessages.h
@@ -4,6 +4,7 @@
 #define RAGWORTCART_CONTROL_PEERMESSAGES_H
 
 #include "ragwortcart/Control/ConfigurationKeeper.h"
+#include "ragwortcart/Control/MetadataStore.h"
 #include "ragwortcart/Kernel/SuspectList.h"
 #include "ragwortcart/Model/ServerStatus.h"
 
@@ -72,7 +73,33 @@
     bool cold = false;
 };
 
-using PeerMessage = std::variant<PeerHello, PeerDigest, PeerDocuments, PeerStatuses, PeerAccusation, PeerAccusationAck, PeerWarmUp>;
+/// The distance of an instance that hears of the store's changes from nobody.
+inline constexpr int STORE_UNHEARD = -1;
+
+/// Sent at a fixed interval: how near an instance is to the platform's metadata store.
+struct PeerStoreDigest
+{
+    /// Everything up to this revision is known to the sender.
+    StoreRevision revision = 0;
+    /// 0 if the sender watches the store itself, 1 if it listens to such an instance, and so on.
+    int distance = STORE_UNHEARD;
+    /// The sender listens to the receiver: changes are to be passed on as they come.
+    bool wantsEvents = false;
+};
+
+/// Changes of the metadata store, in order.
+struct PeerStoreEvents
+{
+    /// Invariant: all changes after `after` up to `revision` are among `events`.
+    StoreRevision after = 0;
+    StoreRevision revision = 0;
+    /// How long removals may still stem from an outage of the store.
+    Duration lapseGrace{};
+    std::vector<StoreEvent> events;
+};
+
+using PeerMessage
+    = std::variant<PeerHello, PeerDigest, PeerDocuments, PeerStatuses, PeerAccusation, PeerAccusationAck, PeerWarmUp, PeerStoreDigest, PeerStoreEvents>;
 
 } // namespace ragwort
 
--- a/include/ragwortcart/Control/PlatformFacts.h
+++ b/include/ragwortcart/Control/PlatformFacts.h
@@ -49,6 +49,8 @@
 {
     std::string name;
     std::string domain;
+    /// Where peers connect, IP number and port; empty if the instance takes no links.
+    std::string peerAddress;
 };
 /// Something that does not concern the tier.
 struct UnrelatedFact
--- a/include/ragwortcart/Control/ServerRegistry.h
+++ b/include/ragwortcart/Control/ServerRegistry.h
@@ -45,9 +45,15 @@
     void setDomainOut(const std::string &domain, bool out);
     void setInstance(const InstanceFact &instance);
     void removeInstance(const std::string &name);
+    /// The whole list as it stands.
+    void replaceInstances(std::span<const InstanceFact> facts);
 
     /// The store answers again after an outage.
     void storeReturned(Instant now);
+    /// Entries that go within \p grace may still stem from an outage, as another instance says that noticed it.
+    void extendLapseGrace(Duration grace, Instant now);
+    /// How long entries that go may still stem from an outage.
+    Duration lapseGraceLeft(Instant now) const;
 
     /// Drops the servers whose time to come back has passed; true when there were any.
     bool dropLapsed(Instant now);
--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -1,16 +1,18 @@
 /// \file
-/// The control thread of an instance that serves routes: follows the platform's metadata store, keeps this instance's own
-/// entry there, and publishes routes and servers to the request threads.
+/// The control thread of an instance that serves routes: follows the platform's metadata store, itself or through peers,
+/// keeps this instance's own entry there, and publishes routes and servers to the request threads.
 #ifndef RAGWORTCART_RUNTIME_ROUTECONTROL_H
 #define RAGWORTCART_RUNTIME_ROUTECONTROL_H
 
 #include "ragwortcart/Control/MetadataStore.h"
 #include "ragwortcart/Control/ServerRegistry.h"
+#include "ragwortcart/Control/StoreSharing.h"
 #include "ragwortcart/Kernel/Topology.h"
 #include "ragwortcart/Model/Configuration.h"
 #include "ragwortcart/Model/Route.h"
 #include "ragwortcart/Support/Metrics.h"
 #include "ragwortcart/Support/Published.h"
+#include "ragwortcart/Wire/PeerLinks.h"
 
 #include <QObject>
 #include <QTimer>
@@ -40,6 +42,8 @@
     {
         std::string instance;
         std::string domain;
+        /// Where peers connect; empty for an instance without links.
+        std::string peersAddress;
         MetadataStore &store;
         const StoreFormat &format;
         Published<Configuration> &configuration;
@@ -49,6 +53,8 @@
         ServerRegistry::Options registry;
         /// A watch ends after this time without events, so that a silent connection is noticed within it.
         Duration watchWait = std::chrono::seconds(4);
+        /// The same for an instance on which peers rely: they must hear soon that it no longer hears the store.
+        Duration relayWatchWait = std::chrono::seconds(1);
         /// Called in the main thread when a version of the routes comes into force.
         std::function<void(const RouteTable &)> onRoutes;
     };
@@ -74,13 +80,23 @@
         StoreRevision revision = 0;
     };
 
+    /// The facts of a list that replace what was known before.
+    struct ListedFacts
+    {
+        std::vector<ServerEntry> servers;
+        std::vector<InstanceFact> instances;
+    };
+
+    // Following the store (RouteControl.cpp).
     void list();
     void listPage(const std::shared_ptr<Listing> &listing, const std::string &afterKey);
     void applyListing(const Listing &listing);
     void watch();
     void onEvents(const Result<StoreEvents> &result);
+    /// Applies the changes after the revision known so far, and publishes what they mean.
+    void applyEvents(std::span<const StoreEvent> events, StoreRevision upTo);
     void apply(const StoreEvent &event);
-    void applyItem(const StoreItem &item, std::vector<ServerEntry> *listedServers);
+    void applyItem(const StoreItem &item, ListedFacts *listed);
     void applyRemoval(const std::string &key);
     void offerRoutes(const RoutesFact &fact, StoreRevision revision);
     void rebuild();
@@ -91,8 +107,20 @@
     void renewLease();
     void writeOwnEntry();
 
+    // Sharing what the store says with peers (RouteSharing.cpp).
+    PeerLinks::Handlers makeLinkHandlers();
+    void startSharing();
+    void onPeerBytes(const std::string &peer, const std::string &bytes);
+    void performSharing();
+    void perform(const SendSharing &send);
+    void perform(const ApplySharedEvents &shared);
+    void noteInstances();
+    /// Ends the watches of the store while a peer tells all changes, and begins them again when it does not.
+    void parkOrResume();
+
     Options options;
     ServerRegistry registry;
+    StoreSharing sharing;
     /// The version in force; versions only rise. Null before the first.
     std::shared_ptr<const RouteTable> routes;
     std::set<std::string> domainsOut;
@@ -101,6 +129,10 @@
     /// The lease under which this instance's own entry stands; 0 before the first.
     LeaseId lease = 0;
     bool leaving = false;
+    /// No call that follows the store runs or is due, as a peer tells the changes.
+    bool parked = false;
+    /// The peer that tells the changes, as logged last; empty if this instance watches the store.
+    std::string followedPeer;
     /// Set from the second failure in a row until the store answers; `lostSince` and the log go by it.
     bool storeLost = false;
     Instant lostSince{};
@@ -109,8 +141,11 @@
     /// Facts were applied that the published topology does not show yet.
     bool rebuildNeeded = false;
     QTimer lapseTimer;
+    QTimer sharingTimer;
     std::atomic<bool> isReady{false};
     Counter &storeCalls;
+    /// The last member: its thread ends before anything that it calls. Null for an instance without links.
+    std::unique_ptr<PeerLinks> links;
 };
 
 } // namespace ragwort
--- a/include/ragwortcart/Runtime/RouteProcess.h
+++ b/include/ragwortcart/Runtime/RouteProcess.h
@@ -25,11 +25,15 @@
     /// Where metrics are served.
     std::string metricsAddress;
     std::string storeAddress;
+    /// Where other entry instances connect; empty for an instance that takes no links.
+    std::string peersAddress;
     std::size_t maximumConnections = 2000;
     /// From the order to stop to the moment at which the process is killed.
     Duration stopTime = std::chrono::seconds(6);
     /// How long a watch of the store lasts without events.
     Duration watchWait = std::chrono::seconds(4);
+    /// The same for an instance that passes the store's changes on to peers.
+    Duration relayWatchWait = std::chrono::seconds(1);
     ExtraLoadLimits extraLoad;
     /// Requests a second that a cold server may get, as a multiple of its own rate and an addition.
     double coldRateFactor = 1.5;
--- a/include/ragwortcart/Wire/PeerLinks.h
+++ b/include/ragwortcart/Wire/PeerLinks.h
@@ -48,7 +48,7 @@
     std::string start();
     void stop();
 
-    /// The peers to open links to: addresses by instance. Any thread.
+    /// The peers to keep links to: addresses by instance. Links that were opened to others are closed. Any thread.
     void setWanted(const std::map<std::string, std::string> &wanted);
 
     /// Sends on the link to \p peer, if there is one. Any thread.
--- a/lib/Control/ServerRegistry.cpp
+++ b/lib/Control/ServerRegistry.cpp
@@ -105,11 +105,31 @@
     this->instances.erase(name);
 }
 
+void ServerRegistry::replaceInstances(std::span<const InstanceFact> facts)
+{
+    this->instances.clear();
+    for (const InstanceFact &fact : facts) {
+        this->setInstance(fact);
+    }
+}
+
 void ServerRegistry::storeReturned(Instant now)
 {
     this->graceEnd = now + this->options.lapseGrace;
 }
 
+void ServerRegistry::extendLapseGrace(Duration grace, Instant now)
+{
+    if (grace > Duration::zero()) {
+        this->graceEnd = std::max(this->graceEnd, now + std::min(grace, this->options.lapseGrace));
+    }
+}
+
+Duration ServerRegistry::lapseGraceLeft(Instant now) const
+{
+    return std::max(this->graceEnd - now, Duration::zero());
+}
+
 bool ServerRegistry::dropLapsed(Instant now)
 {
     const std::size_t before = this->servers.size();
--- a/lib/Runtime/ControlPeers.cpp
+++ b/lib/Runtime/ControlPeers.cpp
@@ -2,6 +2,7 @@
 /// The control thread towards its peers: links, messages, accusations, warm-ups.
 #include "ragwortcart/Runtime/ControlPlane.h"
 
+#include "ragwortcart/Runtime/QueuedLinkHandlers.h"
 #include "ragwortcart/Support/Hash.h"
 #include "ragwortcart/Support/Log.h"
 #include "ragwortcart/Wire/PeerCodec.h"
@@ -10,20 +11,10 @@
 
 PeerLinks::Handlers ControlPlane::makeLinkHandlers()
 {
-    PeerLinks::Handlers handlers;
-    handlers.onUp = [this](const std::string &peer) {
-        QMetaObject::invokeMethod(
-            this, [this, peer] { this->onLink(peer, true); }, Qt::QueuedConnection);
-    };
-    handlers.onDown = [this](const std::string &peer) {
-        QMetaObject::invokeMethod(
-            this, [this, peer] { this->onLink(peer, false); }, Qt::QueuedConnection);
-    };
-    handlers.onMessage = [this](const std::string &peer, const std::string &bytes) {
-        QMetaObject::invokeMethod(
-            this, [this, peer, bytes] { this->onPeerBytes(peer, bytes); }, Qt::QueuedConnection);
-    };
-    return handlers;
+    return queuedHandlers(*this,
+                          {.onUp = [this](const std::string &peer) { this->onLink(peer, true); },
+                           .onDown = [this](const std::string &peer) { this->onLink(peer, false); },
+                           .onMessage = [this](const std::string &peer, const std::string &bytes) { this->onPeerBytes(peer, bytes); }});
 }
 
 void ControlPlane::onLink(const std::string &peer, bool up)
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -33,7 +33,10 @@
 }
 
 RouteControl::RouteControl(Options controlOptions)
-    : options(std::move(controlOptions)), registry(this->options.registry), storeCalls(this->options.metrics.counter("ragwort_store_calls_total"))
+    : options(std::move(controlOptions))
+    , registry(this->options.registry)
+    , sharing({.instance = this->options.instance, .domain = this->options.domain})
+    , storeCalls(this->options.metrics.counter("ragwort_store_calls_total"))
 {
     this->lapseTimer.setSingleShot(true);
     connect(&this->lapseTimer, &QTimer::timeout, this, [this] {
@@ -46,6 +49,7 @@
 
 void RouteControl::start()
 {
+    this->startSharing();
     this->list();
     this->grantLease();
 }
@@ -53,6 +57,8 @@
 void RouteControl::leave()
 {
     this->leaving = true;
+    this->sharing.leave(steadyNow());
+    this->performSharing();
     if (this->lease != 0) {
         this->options.store.endLease(this->lease);
     }
@@ -91,11 +97,13 @@
 void RouteControl::applyListing(const Listing &listing)
 {
     const std::set<std::string> outBefore = std::exchange(this->domainsOut, {});
-    std::vector<ServerEntry> servers;
+    ListedFacts listed;
     for (const StoreItem &item : listing.items) {
-        this->applyItem(item, &servers);
+        this->applyItem(item, &listed);
     }
-    this->registry.replaceAll(servers, steadyNow());
+    this->registry.replaceAll(listed.servers, steadyNow());
+    this->registry.replaceInstances(listed.instances);
+    this->sharing.replaceInstances(listed.instances);
     for (const std::string &domain : outBefore) {
         if (!this->domainsOut.contains(domain)) {
             this->registry.setDomainOut(domain, false);
@@ -106,9 +114,12 @@
              "store-listed",
              {{.key = "revision", .value = std::to_string(listing.revision)},
               {.key = "items", .value = std::to_string(listing.items.size())},
-              {.key = "servers", .value = std::to_string(servers.size())}});
+              {.key = "servers", .value = std::to_string(listed.servers.size())}});
     this->rebuild();
     this->scheduleLapse();
+    this->noteInstances();
+    this->sharing.onListed(listing.revision, steadyNow());
+    this->performSharing();
 }
 
 void RouteControl::watch()
@@ -116,8 +127,17 @@
     if (this->leaving) {
         return;
     }
+    if (this->sharing.followsPeer()) {
+        this->parked = true;
+        this->onStoreAnswer();
+        this->sharing.onStoreSilent(steadyNow());
+        this->performSharing();
+        return;
+    }
+    this->parked = false;
     this->storeCalls.add();
-    const Duration wait = this->failuresInRow == 0 ? this->options.watchWait : PROBE_WAIT;
+    const Duration soundWait = this->sharing.isRelay() ? this->options.relayWatchWait : this->options.watchWait;
+    const Duration wait = this->failuresInRow == 0 ? soundWait : PROBE_WAIT;
     this->options.store.watch({}, this->revision, wait, [this](const Result<StoreEvents> &events) { this->onEvents(events); });
 }
 
@@ -128,17 +148,29 @@
         return;
     }
     this->onStoreAnswer();
-    for (const StoreEvent &event : result->events) {
-        this->apply(event);
+    const Instant now = steadyNow();
+    this->sharing.onStoreEvents(result->events, result->revision, this->registry.lapseGraceLeft(now), now);
+    this->applyEvents(result->events, result->revision);
+    this->performSharing();
+    const int callers = this->sharing.isRelay() ? 1 : this->registry.liveInstances();
+    const Duration eventPause = std::clamp(EVENT_PAUSE_PER_INSTANCE * callers, SHORTEST_EVENT_PAUSE, LONGEST_EVENT_PAUSE);
+    const Duration pause = result->events.empty() ? Duration::zero() : eventPause;
+    QTimer::singleShot(milliseconds(pause), this, [this] { this->watch(); });
+}
+
+void RouteControl::applyEvents(std::span<const StoreEvent> events, StoreRevision upTo)
+{
+    for (const StoreEvent &event : events) {
+        const StoreRevision changed = std::visit([](const auto &typed) { return typed.revision; }, event);
+        if (changed > this->revision) {
+            this->apply(event);
+        }
     }
-    this->revision = std::max(this->revision, result->revision);
+    this->revision = std::max(this->revision, upTo);
     if (this->rebuildNeeded) {
         this->rebuild();
     }
     this->scheduleLapse();
-    const Duration eventPause = std::clamp(EVENT_PAUSE_PER_INSTANCE * this->registry.liveInstances(), SHORTEST_EVENT_PAUSE, LONGEST_EVENT_PAUSE);
-    const Duration pause = result->events.empty() ? Duration::zero() : eventPause;
-    QTimer::singleShot(milliseconds(pause), this, [this] { this->watch(); });
 }
 
 void RouteControl::apply(const StoreEvent &event)
@@ -148,7 +180,7 @@
         event);
 }
 
-void RouteControl::applyItem(const StoreItem &item, std::vector<ServerEntry> *listedServers)
+void RouteControl::applyItem(const StoreItem &item, ListedFacts *listed)
 {
     const Instant now = steadyNow();
     std::visit(
@@ -156,8 +188,8 @@
             [](const UnrelatedFact &) {},
             [&](const RoutesFact &fact) { this->offerRoutes(fact, item.revision); },
             [&](const ServerFact &fact) {
-                if (listedServers != nullptr) {
-                    listedServers->push_back(fact.entry);
+                if (listed != nullptr) {
+                    listed->servers.push_back(fact.entry);
                 } else if (this->registry.set(fact.entry, now)) {
                     this->rebuildNeeded = true;
                     logEvent(LogLevel::info,
@@ -177,7 +209,13 @@
                 logEvent(LogLevel::info, "domain-out", {{.key = "domain", .value = fact.domain}, {.key = "revision", .value = std::to_string(item.revision)}});
             },
             [&](const InstanceFact &fact) {
+                if (listed != nullptr) {
+                    listed->instances.push_back(fact);
+                    return;
+                }
                 this->registry.setInstance(fact);
+                this->sharing.setInstance(fact);
+                this->noteInstances();
                 this->rebuildNeeded = true;
             },
             [&](const UnreadableFact &fact) {
@@ -207,6 +245,8 @@
                                return;
                            }
                            this->registry.removeInstance(removed.name);
+                           this->sharing.removeInstance(removed.name);
+                           this->noteInstances();
                            this->rebuildNeeded = true;
                        }},
                this->options.format.decodeRemoval(key));
@@ -268,6 +308,10 @@
 void RouteControl::onStoreFailure(const Error &error, bool relist)
 {
     ++this->failuresInRow;
+    if (error.code != Errc::historyGone) {
+        this->sharing.onStoreSilent(steadyNow());
+        this->performSharing();
+    }
     // One broken watch is no outage.
     if (this->failuresInRow == 2 && !this->storeLost) {
         this->storeLost = true;
@@ -318,7 +362,8 @@
 
 void RouteControl::writeOwnEntry()
 {
-    const InstanceFact self{.name = this->options.instance, .domain = this->options.domain};
+    const InstanceFact self{
+        .name = this->options.instance, .domain = this->options.domain, .peerAddress = this->links ? this->options.peersAddress : std::string()};
     this->storeCalls.add();
     this->options.store.put(
         this->options.format.instanceKey(self.name), this->options.format.encodeInstance(self), this->lease, [this](const Result<StoreRevision> &written) {
--- a/lib/Runtime/RouteProcess.cpp
+++ b/lib/Runtime/RouteProcess.cpp
@@ -22,6 +22,7 @@
     , topology(std::make_shared<const Topology>())
     , control({.instance = this->options.settings.instance,
                .domain = this->options.settings.domain,
+               .peersAddress = this->options.settings.peersAddress,
                .store = this->options.store,
                .format = this->options.storeFormat,
                .configuration = this->configuration,
@@ -33,6 +34,7 @@
                             .coldRateFactor = this->options.settings.coldRateFactor,
                             .coldRateAddition = this->options.settings.coldRateAddition},
                .watchWait = this->options.settings.watchWait,
+               .relayWatchWait = this->options.settings.relayWatchWait,
                .onRoutes =
                    [this](const RouteTable &table) {
                        this->worker.setCallerBounds({.maximumHeaderBytes = table.limits.headerBytes,
--- a/lib/Wire/PeerCodec.cpp
+++ b/lib/Wire/PeerCodec.cpp
@@ -2,6 +2,8 @@
 /// Peer messages as CBOR arrays: the number of the type, then its fields in order.
 #include "ragwortcart/Wire/PeerCodec.h"
 
+#include "ragwortcart/Support/Visitor.h"
+
 #include <QCborArray>
 #include <QCborMap>
 #include <QCborValue>
@@ -9,7 +11,10 @@
 namespace ragwort {
 
 /// Numbers on the wire; never reused for another meaning.
-enum class PeerType { hello = 1, digest = 2, documents = 3, statuses = 4, accusation = 5, accusationAck = 6, warmUp = 7 };
+enum class PeerType { hello = 1, digest = 2, documents = 3, statuses = 4, accusation = 5, accusationAck = 6, warmUp = 7, storeDigest = 8, storeEvents = 9 };
+
+/// Type, first and last revision, grace, changes.
+static constexpr qsizetype STORE_EVENTS_FIELDS = 5;
 
 static QCborValue text(const std::string &value)
 {
@@ -110,6 +115,41 @@
     return array;
 }
 
+static QCborArray encode(const PeerStoreDigest &digest)
+{
+    QCborArray array = begin(PeerType::storeDigest);
+    array.append(number(digest.revision));
+    array.append(digest.distance);
+    array.append(digest.wantsEvents);
+    return array;
+}
+
+/// A change is key, revision and value; a deletion has no value.
+static QCborValue encodeChange(const StoreEvent &event)
+{
+    return std::visit(Visitor{[](const StoreItem &item) {
+                                  return QCborArray{text(item.key), number(item.revision), item.value};
+                              },
+                              [](const StoreDeletion &deletion) {
+                                  return QCborArray{text(deletion.key), number(deletion.revision)};
+                              }},
+                      event);
+}
+
+static QCborArray encode(const PeerStoreEvents &message)
+{
+    QCborArray array = begin(PeerType::storeEvents);
+    array.append(number(message.after));
+    array.append(number(message.revision));
+    array.append(static_cast<qint64>(message.lapseGrace.count()));
+    QCborArray changes;
+    for (const StoreEvent &event : message.events) {
+        changes.append(encodeChange(event));
+    }
+    array.append(changes);
+    return array;
+}
+
 std::string encodePeerMessage(const PeerMessage &message)
 {
     const QCborArray array = std::visit([](const auto &typed) { return encode(typed); }, message);
@@ -167,6 +207,24 @@
     return statuses;
 }
 
+static StoreEvent decodeChange(const QCborArray &array)
+{
+    if (array.size() > 2) {
+        return StoreItem{.key = textOf(array.at(0)), .value = array.at(2).toByteArray(), .revision = numberOf(array.at(1))};
+    }
+    return StoreDeletion{.key = textOf(array.at(0)), .revision = numberOf(array.at(1))};
+}
+
+static PeerStoreEvents decodeStoreEvents(const QCborArray &array)
+{
+    PeerStoreEvents message{.after = numberOf(array.at(1)), .revision = numberOf(array.at(2)), .lapseGrace = Duration(array.at(3).toInteger()), .events = {}};
+    const QCborArray changes = array.at(4).toArray();
+    for (const QCborValue &change : changes) {
+        message.events.push_back(decodeChange(change.toArray()));
+    }
+    return message;
+}
+
 Result<PeerMessage> decodePeerMessage(std::string_view bytes, const std::string &peer)
 {
     QCborParserError error{};
@@ -198,6 +256,15 @@
                                       .incarnation = numberOf(array.at(2)),
                                       .level = static_cast<int>(array.at(3).toInteger()),
                                       .cold = array.at(4).toBool()});
+    case PeerType::storeDigest:
+        return PeerMessage(PeerStoreDigest{
+            .revision = numberOf(array.at(1)), .distance = static_cast<int>(array.at(2).toInteger(STORE_UNHEARD)), .wantsEvents = array.at(3).toBool()});
+    case PeerType::storeEvents:
+        // A message cut short must not look as if nothing had changed.
+        if (array.size() != STORE_EVENTS_FIELDS || !array.at(4).isArray()) {
+            return malformed("store events without their changes");
+        }
+        return PeerMessage(decodeStoreEvents(array));
     }
     return malformed("unknown type");
 }
--- a/lib/Wire/PeerLinks.cpp
+++ b/lib/Wire/PeerLinks.cpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <set>
 #include <thread>
+#include <vector>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/config/asio_no_tls_client.hpp>
@@ -111,9 +112,23 @@
         }
     }
 
+    void setWanted(const std::map<std::string, std::string> &peersWanted)
+    {
+        this->wanted = peersWanted;
+        // Those that peers opened are theirs to close.
+        std::vector<Link> unwanted;
+        for (const auto &[peer, link] : this->links) {
+            if (!link.accepted && this->wanted.find(peer) == this->wanted.end()) {
+                unwanted.push_back(link);
+            }
+        }
+        for (const Link &link : unwanted) {
+            this->close(link);
+        }
+    }
+
     Options options;
     PeerLinkCounts counts;
-    std::map<std::string, std::string> wanted;
 
 private:
     using Clock = std::chrono::steady_clock;
@@ -257,6 +272,8 @@
     }
 
     Handlers handlers;
+    /// Addresses by instance.
+    std::map<std::string, std::string> wanted;
     boost::asio::io_context context;
     boost::asio::steady_timer timer;
     Server server;
@@ -288,7 +305,7 @@
 
 void PeerLinks::setWanted(const std::map<std::string, std::string> &wanted)
 {
-    this->core->post([core = this->core, wanted] { core->wanted = wanted; });
+    this->core->post([core = this->core, wanted] { core->setWanted(wanted); });
 }
 
 void PeerLinks::send(const std::string &peer, const std::string &bytes)
--- a/unittests/Control/ServerRegistryTest.cpp
+++ b/unittests/Control/ServerRegistryTest.cpp
@@ -107,6 +107,27 @@
     }
 }
 
+TEST_F(ServerRegistryTest, aListForgetsInstancesThatAreNotInIt)
+{
+    this->registry.setInstance({.name = "i2", .domain = "a"});
+    this->registry.setInstance({.name = "i3", .domain = "a"});
+    EXPECT_EQ(this->registry.liveInstances(), 3);
+    const std::vector<InstanceFact> listed = {{.name = "i3", .domain = "a"}};
+    this->registry.replaceInstances(listed);
+    EXPECT_EQ(this->registry.liveInstances(), 2);
+}
+
+TEST_F(ServerRegistryTest, anOutageThatAPeerNoticedKeepsLapsedServersToo)
+{
+    this->registry.set(entry("s"), this->now);
+    EXPECT_EQ(this->registry.lapseGraceLeft(this->now), Duration::zero());
+    this->registry.extendLapseGrace(milliseconds(1500), this->now);
+    EXPECT_EQ(this->registry.lapseGraceLeft(this->now), milliseconds(1500));
+    EXPECT_FALSE(this->registry.remove("s", this->now + milliseconds(1000)));
+    EXPECT_FALSE(this->registry.dropLapsed(this->now + milliseconds(1400)));
+    EXPECT_TRUE(this->registry.dropLapsed(this->now + milliseconds(1600)));
+}
+
 TEST_F(ServerRegistryTest, theInstancesOfAColdServersDomainDivideWhatItBears)
 {
     ServerEntry cold = entry("s");
--- a/unittests/Platform/SettingsTest.cpp
+++ b/unittests/Platform/SettingsTest.cpp
@@ -27,6 +27,23 @@
     }
 }
 
+TEST(PlatformSettingsTest, whoReliesOnARelayStillHearsOfAChangeInTime)
+{
+    for (const int boundMs : {2000, 3000, 5000}) {
+        const std::string bound = std::to_string(boundMs);
+        const ReadSettings read = readSettings(GOOD + "bounds.apply_ms=" + bound + "\nbounds.drain_ms=" + bound + '\n', 9464);
+        // The relay's watch, the time after which it counts as lost, and as much again for asking the store oneself.
+        EXPECT_LE(read.settings.relayWatchWait + std::chrono::milliseconds(700), std::chrono::milliseconds(boundMs / 2));
+        EXPECT_LE(read.settings.relayWatchWait, read.settings.watchWait);
+    }
+}
+
+TEST(PlatformSettingsTest, peersConnectToTheFirstFreePort)
+{
+    EXPECT_EQ(readSettings(GOOD + "port_range=7740,7755\n", 9464).settings.peersAddress, "10.0.0.1:7740");
+    EXPECT_EQ(readSettings(GOOD, 9464).settings.peersAddress, "");
+}
+
 TEST(PlatformSettingsTest, faultsAreNamed)
 {
     EXPECT_EQ(readSettings("", 9464).faults.size(), 6U);
--- a/unittests/Platform/StoreFormatTest.cpp
+++ b/unittests/Platform/StoreFormatTest.cpp
@@ -80,4 +80,13 @@
     EXPECT_TRUE(std::holds_alternative<UnrelatedFact>(format.decodeRemoval("op/config")));
 }
 
+TEST(StoreFormatTest, anInstancesEntryTellsWherePeersConnect)
+{
+    const KeyValueFormat format;
+    const PlatformFact fact = format.decode(format.instanceKey("n"), format.encodeInstance({.name = "n", .domain = "a", .peerAddress = "10.0.0.1:7740"}));
+    EXPECT_EQ(std::get<InstanceFact>(fact).name, "n");
+    EXPECT_EQ(std::get<InstanceFact>(fact).domain, "a");
+    EXPECT_EQ(std::get<InstanceFact>(fact).peerAddress, "10.0.0.1:7740");
+}
+
 } // namespace ragwort::platform
--- a/unittests/Wire/PeerCodecTest.cpp
+++ b/unittests/Wire/PeerCodecTest.cpp
@@ -41,6 +41,35 @@
     EXPECT_TRUE(warmUp.cold);
 }
 
+TEST(PeerCodecTest, changesOfTheStoreKeepTheirOrderAndTheirKind)
+{
+    const PeerStoreEvents sent{.after = 7,
+                               .revision = 12,
+                               .lapseGrace = std::chrono::milliseconds(1500),
+                               .events = {StoreItem{.key = "k1", .value = QByteArray("a\0b", 3), .revision = 9}, StoreDeletion{.key = "k2", .revision = 12}}};
+    const Result<PeerMessage> decoded = decodePeerMessage(encodePeerMessage(sent), "peer");
+    ASSERT_TRUE(decoded);
+    const auto &read = std::get<PeerStoreEvents>(*decoded);
+    EXPECT_EQ(read.after, 7U);
+    EXPECT_EQ(read.revision, 12U);
+    EXPECT_EQ(read.lapseGrace, sent.lapseGrace);
+    ASSERT_EQ(read.events.size(), 2U);
+    EXPECT_EQ(std::get<StoreItem>(read.events[0]).value, QByteArray("a\0b", 3));
+    EXPECT_EQ(std::get<StoreDeletion>(read.events[1]).key, "k2");
+
+    const Result<PeerMessage> digest = decodePeerMessage(encodePeerMessage(PeerStoreDigest{.revision = 12, .distance = 1, .wantsEvents = true}), "peer");
+    ASSERT_TRUE(digest);
+    EXPECT_EQ(std::get<PeerStoreDigest>(*digest).revision, 12U);
+    EXPECT_EQ(std::get<PeerStoreDigest>(*digest).distance, 1);
+    EXPECT_TRUE(std::get<PeerStoreDigest>(*digest).wantsEvents);
+}
+
+TEST(PeerCodecTest, storeEventsWithoutTheirChangesAreRejected)
+{
+    // [9, 7, 12, 0]: an array cut short would look as if nothing had changed between the two revisions.
+    EXPECT_FALSE(decodePeerMessage("\x84\x09\x07\x0c\x00", "peer"));
+}
+
 TEST(PeerCodecTest, nonsenseIsRejectedWithThePeersName)
 {
     for (const std::string &bytes : {std::string(), std::string("\xff\xff"), std::string("hello"), std::string("\x81\x18\x63")}) {
--- a/unittests/Wire/PeerLinksTest.cpp
+++ b/unittests/Wire/PeerLinksTest.cpp
@@ -90,6 +90,22 @@
     }));
 }
 
+TEST(PeerLinksTest, aLinkThatIsNoLongerWantedIsClosedByTheSideThatOpenedIt)
+{
+    LinkEnd one("one", PORT + 6);
+    LinkEnd other("other", PORT + 7);
+    one.links->setWanted({{"other", other.address}});
+    ASSERT_TRUE(eventually([&] { return one.linkedTo("other") && other.linkedTo("one"); }));
+    other.links->setWanted({});
+    one.links->setWanted({});
+    EXPECT_TRUE(eventually([&] {
+        // Talk keeps the link from being closed for its silence.
+        one.links->send("other", "still here");
+        other.links->send("one", "here too");
+        return !one.linkedTo("other") && !other.linkedTo("one");
+    }));
+}
+
 TEST(PeerLinksTest, aTakenAddressIsReported)
 {
     const LinkEnd one("one", PORT + 4);
