Relays warn their failure domain of servers that most attempts fare badly with

Ruled out: a longer memory alone (a paused server would be avoided for seconds after 120 ms). Change: instances count how their attempts ended, tell their relays twice a second, and a relay warns its domain of servers with three attempts or more of which 40% failed or took 2.5 times the usual latency; a server that merely pauses stays below. The warning fades by half a second. Tests: ServerNewsTest, ForwardStepsTest (slow and failed attempts, warnings, servers without room after a power loss).

--- a/include/ragwortcart/Control/PeerExchange.h
+++ b/include/ragwortcart/Control/PeerExchange.h
@@ -110,13 +110,19 @@
     void handle(const std::string &peer, const PeerAccusation &told, Instant now);
     void handle(const std::string &peer, const PeerAccusationAck &ack, Instant now);
     void handle(const std::string &peer, const PeerWarmUp &warmUp, Instant now);
-    // Searches keep their configuration in documents; changes of the store are shared between instances that serve routes.
+    // What only instances that serve routes tell each other.
     void handle(const std::string &, const PeerStoreDigest &, Instant)
     {
     }
     void handle(const std::string &, const PeerStoreEvents &, Instant)
     {
     }
+    void handle(const std::string &, const PeerServerUses &, Instant)
+    {
+    }
+    void handle(const std::string &, const PeerServerWarnings &, Instant)
+    {
+    }
     void send(const std::string &peer, PeerMessage message);
     void sendToAll(const PeerMessage &message, const std::string &except = {});
     PeerDigest makeDigest(Instant now, bool withSequences) const;
--- a/include/ragwortcart/Control/PeerMessages.h
+++ b/include/ragwortcart/Control/PeerMessages.h
@@ -98,8 +98,46 @@
     std::vector<StoreEvent> events;
 };
 
-using PeerMessage
-    = std::variant<PeerHello, PeerDigest, PeerDocuments, PeerStatuses, PeerAccusation, PeerAccusationAck, PeerWarmUp, PeerStoreDigest, PeerStoreEvents>;
+/// How attempts at one server have gone for one instance in one interval.
+struct ServerUse
+{
+    std::string serverId;
+    std::uint32_t ended = 0;
+    /// Of these, the attempts that failed or took much longer than usual.
+    std::uint32_t bad = 0;
+};
+
+/// Sent to the relays of the sender's failure domain at a fixed interval.
+struct PeerServerUses
+{
+    std::vector<ServerUse> uses;
+};
+
+/// A server that most attempts of a failure domain fare badly with.
+struct ServerWarning
+{
+    std::string serverId;
+    /// The share of bad attempts in thousandths.
+    int badPerMille = 0;
+};
+
+/// Sent by a relay to the instances of its failure domain.
+struct PeerServerWarnings
+{
+    std::vector<ServerWarning> warnings;
+};
+
+using PeerMessage = std::variant<PeerHello,
+                                 PeerDigest,
+                                 PeerDocuments,
+                                 PeerStatuses,
+                                 PeerAccusation,
+                                 PeerAccusationAck,
+                                 PeerWarmUp,
+                                 PeerStoreDigest,
+                                 PeerStoreEvents,
+                                 PeerServerUses,
+                                 PeerServerWarnings>;
 
 } // namespace ragwort
 
--- a/include/ragwortcart/Control/StoreSharing.h
+++ b/include/ragwortcart/Control/StoreSharing.h
@@ -101,6 +101,10 @@
         return this->relay;
     }
 
+    /// The linked relays of this failure domain, and all its linked instances.
+    std::vector<std::string> linkedRelays() const;
+    std::vector<std::string> linkedNeighbours() const;
+
     std::vector<SharingAction> takeActions();
 
 private:
--- a/include/ragwortcart/Kernel/QueryEngine.h
+++ b/include/ragwortcart/Kernel/QueryEngine.h
@@ -163,7 +163,7 @@
     bool mayExposeAnother(const ActiveQuery &query, Instant now);
     void continueAfterFailedPart(ActiveQuery &query, Instant now);
     void closeAttempt(PartAttempt &attempt);
-    void cancelAttempt(QueryId query, PartAttempt &attempt, Instant now);
+    void cancelAttempt(const ActiveQuery &query, PartAttempt &attempt, Instant now);
     static void noteSlow(const PartAttempt &attempt, Instant now);
     void onSubEnded(const SubEnded &event, Instant now);
     void settleFailure(ActiveQuery &query, std::size_t partIndex, const ServerPointer &server, const SubFailed &event, Instant now);
@@ -173,6 +173,8 @@
 
     // Servers' health (ServerHealth.cpp).
     void applyReport(ServerRecord &server, const ServerReport &report, Instant now);
+    /// Whether an attempt that has taken \p latency was much slower than usual for its kind.
+    bool isSlow(const ActiveQuery &query, const ServerRecord &server, Duration latency);
     void recordGoodAnswer(ActiveQuery &query, ServerRecord &server, Duration latency, bool reportedCold, Instant now);
     void recordFailure(ActiveQuery &query, ServerRecord &server, SubFailure failure, Instant now);
     void suspectCold(ServerRecord &server, const BackendGroup &group);
--- a/include/ragwortcart/Kernel/ServerRecord.h
+++ b/include/ragwortcart/Kernel/ServerRecord.h
@@ -81,6 +81,15 @@
 
     /// Notes whether an attempt was served; refusals count as failures.
     void recordServed(bool served, Instant now);
+    /// Notes for the other instances of the domain how an attempt has ended.
+    void recordUse(bool bad)
+    {
+        this->endedUses.fetch_add(1, std::memory_order_relaxed);
+        this->badUses.fetch_add(bad ? 1 : 0, std::memory_order_relaxed);
+    }
+    /// Other instances have seen this share of attempts go badly.
+    void warn(int badPerMille, Instant now);
+
     /// The server was heard, whatever it said.
     void recordSignOfLife()
     {
@@ -148,6 +157,12 @@
     std::atomic<int> failurePerMille{0};
     /// Attempts that were noted as slow since the server last gave a sign of life.
     std::atomic<int> silentAttempts{0};
+    /// Attempts that have ended, and those of them that went badly, since they were last told to the peers.
+    std::atomic<std::uint32_t> endedUses{0};
+    std::atomic<std::uint32_t> badUses{0};
+    /// The share of bad attempts that peers warned of, in thousandths, and when, in microseconds on the monotonic axis.
+    std::atomic<int> warnedPerMille{0};
+    std::atomic<std::int64_t> warnedAtUs{0};
     /// Microseconds on the monotonic axis until which no request is sent, after repeated failures.
     std::atomic<std::int64_t> ejectedUntilUs{0};
     /// Until when the server counts as cold by its own announcement, in microseconds on the monotonic axis.
--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -5,6 +5,7 @@
 #define RAGWORTCART_RUNTIME_ROUTECONTROL_H
 
 #include "ragwortcart/Control/MetadataStore.h"
+#include "ragwortcart/Control/ServerNews.h"
 #include "ragwortcart/Control/ServerRegistry.h"
 #include "ragwortcart/Control/StoreSharing.h"
 #include "ragwortcart/Kernel/Topology.h"
@@ -115,12 +116,16 @@
     void perform(const SendSharing &send);
     void perform(const ApplySharedEvents &shared);
     void noteInstances();
+    /// Tells the relays how attempts at servers went, and as a relay warns the domain of bad servers.
+    void shareServerNews();
+    void sendTo(const std::string &peer, const PeerMessage &message);
     /// Ends the watches of the store while a peer tells all changes, and begins them again when it does not.
     void parkOrResume();
 
     Options options;
     ServerRegistry registry;
     StoreSharing sharing;
+    ServerNews serverNews;
     /// The version in force; versions only rise. Null before the first.
     std::shared_ptr<const RouteTable> routes;
     std::set<std::string> domainsOut;
--- a/lib/Control/StoreSharing.cpp
+++ b/lib/Control/StoreSharing.cpp
@@ -268,6 +268,25 @@
     }
 }
 
+std::vector<std::string> StoreSharing::linkedRelays() const
+{
+    std::vector<std::string> linked = this->relaysOf(this->options.domain);
+    std::erase_if(linked, [this](const std::string &name) { return !this->peers.contains(name); });
+    return linked;
+}
+
+std::vector<std::string> StoreSharing::linkedNeighbours() const
+{
+    std::vector<std::string> linked;
+    for (const auto &[name, peer] : this->peers) {
+        const auto fact = this->instances.find(name);
+        if (fact != this->instances.end() && fact->second.domain == this->options.domain) {
+            linked.push_back(name);
+        }
+    }
+    return linked;
+}
+
 std::vector<SharingAction> StoreSharing::takeActions()
 {
     return std::exchange(this->actions, {});
--- a/lib/Kernel/AttemptSteps.cpp
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -203,15 +203,18 @@
     }
 }
 
-void QueryEngine::cancelAttempt(QueryId query, PartAttempt &attempt, Instant now)
+void QueryEngine::cancelAttempt(const ActiveQuery &query, PartAttempt &attempt, Instant now)
 {
     assert(attempt.open && "an attempt is closed once");
     attempt.open = false;
     this->timers.cancel(attempt.timeout);
     noteSlow(attempt, now);
+    if (this->isSlow(query, *attempt.server, now - attempt.sentAt)) {
+        attempt.server->recordUse(true);
+    }
     // The server may still be at work: the permit is given back when the request has ended there.
-    this->cancelling.emplace(std::pair(query, attempt.id), attempt.server);
-    this->actions.emplace_back(CancelSubRequest{.query = query, .attempt = attempt.id, .serverId = attempt.server->identity.id});
+    this->cancelling.emplace(std::pair(query.request.id, attempt.id), attempt.server);
+    this->actions.emplace_back(CancelSubRequest{.query = query.request.id, .attempt = attempt.id, .serverId = attempt.server->identity.id});
 }
 
 void QueryEngine::onSubEnded(const SubEnded &event, Instant now)
@@ -233,7 +236,7 @@
     this->timers.cancel(part.hedgeTimer);
     for (PartAttempt &attempt : part.attempts) {
         if (attempt.open) {
-            this->cancelAttempt(query.request.id, attempt, now);
+            this->cancelAttempt(query, attempt, now);
         }
     }
 }
@@ -332,7 +335,7 @@
     PartAttempt &silent = query->parts[found->part].attempts[found->attempt];
     const ServerPointer server = silent.server;
     this->report(Reason::attemptTimedOut, id, server->identity.id);
-    this->cancelAttempt(id, silent, now);
+    this->cancelAttempt(*query, silent, now);
     this->settleFailure(
         *query, found->part, server, {.query = id, .attempt = attempt, .failure = SubFailure::timeout, .report = std::nullopt, .answer = std::nullopt}, now);
 }
@@ -415,7 +418,9 @@
         .failure = failure, .attemptsOfPart = static_cast<int>(part.attempts.size()), .urgency = query.kind->urgency, .timeLeft = query.timeLeft(now)};
     bool anyUsable = false;
     this->candidates(query, part, now, anyUsable);
-    const bool allowed = anyUsable && mayAttempt(query, part) && this->mayExposeAnother(query, now) && this->mayCostExtra(query, part, ExtraPurpose::retry);
+    // What reached no server costs nothing extra.
+    const bool withinAllowance = failure == SubFailure::connectFailed || this->mayCostExtra(query, part, ExtraPurpose::retry);
+    const bool allowed = anyUsable && mayAttempt(query, part) && this->mayExposeAnother(query, now) && withinAllowance;
     if (allowed && state.retry->retry(question, this->budgetOf(query, part))) {
         ++query.retries;
         this->report(Reason::retried, query.request.id);
--- a/lib/Kernel/ServerHealth.cpp
+++ b/lib/Kernel/ServerHealth.cpp
@@ -10,6 +10,8 @@
 static constexpr Duration EJECTION_TIME = std::chrono::seconds(2);
 /// An answer slower than this multiple of the service's median counts as slow.
 static constexpr int SLOW_FACTOR = 5;
+/// One that is slower than this multiple is told to peers as a bad one: they only avoid the server for a while.
+static constexpr double BAD_LATENCY_FACTOR = 2.5;
 static constexpr std::uint64_t SLOW_MINIMUM_SAMPLES = 50;
 /// Slow answers in a row after which a server is taken for cold, whatever it reports.
 static constexpr int COLD_AFTER_SLOW_ANSWERS = 6;
@@ -64,12 +66,19 @@
     this->actions.emplace_back(AnnounceWarmUp{.serverId = server.identity.id, .incarnation = server.incarnation.load(), .level = 0, .cold = true});
 }
 
+bool QueryEngine::isSlow(const ActiveQuery &query, const ServerRecord &server, Duration latency)
+{
+    const std::optional<Duration> median = this->groupState(query.key).latencyFor(latencyKeyOf(query, server)).quantile(0.5, SLOW_MINIMUM_SAMPLES);
+    return median && static_cast<double>(latency.count()) > static_cast<double>(median->count()) * BAD_LATENCY_FACTOR;
+}
+
 void QueryEngine::recordGoodAnswer(ActiveQuery &query, ServerRecord &server, Duration latency, bool reportedCold, Instant now)
 {
     server.consecutiveFailures.store(0, std::memory_order_relaxed);
     server.recordSignOfLife();
     server.recordServed(true, now);
     server.recordLatency(latency, now);
+    server.recordUse(this->isSlow(query, server, latency));
     GroupState &state = this->groupState(query.key);
     const std::string &latencyKey = latencyKeyOf(query, server);
     if (query.group->startsAnnounced) {
@@ -113,6 +122,11 @@
 {
     server.failed.fetch_add(1, std::memory_order_relaxed);
     server.recordServed(false, now);
+    // A refusal for lack of room says nothing of the server's speed, and an attempt that timed out was noted when it was
+    // cancelled.
+    if (failure != SubFailure::shed && failure != SubFailure::timeout) {
+        server.recordUse(true);
+    }
     switch (failure) {
     case SubFailure::draining:
         server.setBarrier(ServerRecord::draining, true);
--- a/lib/Kernel/ServerRecord.cpp
+++ b/lib/Kernel/ServerRecord.cpp
@@ -78,6 +78,12 @@
     }
 }
 
+void ServerRecord::warn(int badPerMille, Instant now)
+{
+    this->warnedPerMille.store(std::clamp(badPerMille, 0, 1000), std::memory_order_relaxed);
+    this->warnedAtUs.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
 void ServerRecord::recordLatency(Duration latency, Instant now)
 {
     this->latencyAtUs.store(now.time_since_epoch().count(), std::memory_order_relaxed);
--- a/lib/Policies/BalancePolicies.cpp
+++ b/lib/Policies/BalancePolicies.cpp
@@ -29,6 +29,7 @@
 constexpr Duration FAILURE_COST = std::chrono::milliseconds(150);
 /// What each attempt without an answer so far adds.
 constexpr Duration SILENCE_COST = std::chrono::milliseconds(30);
+constexpr Duration NEGLIGIBLE_WARNING = std::chrono::milliseconds(1);
 constexpr int MOST_REPORTED_LOAD = 16;
 constexpr double LOAD_PREFERENCE = 0.05;
 /// One choice in this many ignores the estimates, so that a server that was slow is seen to recover.
@@ -76,16 +77,16 @@
     }
 
     /// What was seen long ago counts less.
-    static double freshness(const ServerRecord &server, Instant now)
+    static double freshness(const std::atomic<std::int64_t> &seenAtUs, Instant now)
     {
-        const std::int64_t age = now.time_since_epoch().count() - server.latencyAtUs.load(std::memory_order_relaxed);
+        const std::int64_t age = now.time_since_epoch().count() - seenAtUs.load(std::memory_order_relaxed);
         return std::exp2(-static_cast<double>(std::max<std::int64_t>(age, 0)) / static_cast<double>(MEMORY_HALF_LIFE.count()));
     }
 
     /// A request waits only when the slots are taken. Reported load lags and may be wrong, so that it is bounded.
     static double expectedWait(const ServerRecord &server, std::int64_t fastest, Instant now)
     {
-        const double fresh = freshness(server, now);
+        const double fresh = freshness(server.latencyAtUs, now);
         const double latency = static_cast<double>(fastest) + static_cast<double>(knownLatency(server) - fastest) * fresh;
         const int reported = std::clamp(server.reportedLoad.load(std::memory_order_relaxed), 0, MOST_REPORTED_LOAD);
         const int load = std::max(server.inFlight.load(std::memory_order_relaxed), reported);
@@ -93,8 +94,12 @@
         const double queue = static_cast<double>(std::max(load + 1 - slots, 0)) / slots;
         const double failures = server.failurePerMille.load(std::memory_order_relaxed) / 1000.0 * fresh * static_cast<double>(FAILURE_COST.count());
         const double silence = server.silentAttempts.load(std::memory_order_relaxed) * fresh * static_cast<double>(SILENCE_COST.count());
+        const double warning
+            = server.warnedPerMille.load(std::memory_order_relaxed) / 1000.0 * freshness(server.warnedAtUs, now) * static_cast<double>(FAILURE_COST.count());
+        // What is left of an old warning must not decide between servers that are otherwise equal.
+        const double warned = warning < static_cast<double>(NEGLIGIBLE_WARNING.count()) ? 0.0 : warning;
         // Equal waits are told apart by the load, so that idle servers share the work.
-        return latency * (1.0 + queue + LOAD_PREFERENCE * load) + failures + silence;
+        return latency * (1.0 + queue + LOAD_PREFERENCE * load) + failures + silence + warned;
     }
 };
 
--- a/lib/Runtime/RouteSharing.cpp
+++ b/lib/Runtime/RouteSharing.cpp
@@ -42,6 +42,7 @@
     connect(&this->sharingTimer, &QTimer::timeout, this, [this] {
         this->sharing.advance(steadyNow());
         this->performSharing();
+        this->shareServerNews();
     });
     this->sharingTimer.start(static_cast<int>(toMs(SHARING_DIGEST_INTERVAL)));
 }
@@ -56,6 +57,8 @@
     const Instant now = steadyNow();
     std::visit(Visitor{[&](const PeerStoreDigest &digest) { this->sharing.onDigest(peer, digest, now); },
                        [&](const PeerStoreEvents &events) { this->sharing.onEvents(peer, events, now); },
+                       [&](const PeerServerUses &told) { this->serverNews.note(told.uses); },
+                       [&](const PeerServerWarnings &told) { applyWarnings(*this->options.topology.load(), told.warnings, now); },
                        [&](const auto &) { logEvent(LogLevel::warning, "peer-message-unexpected", {{.key = "peer", .value = peer}}); }},
                *message);
     this->performSharing();
@@ -70,10 +73,37 @@
 }
 
 void RouteControl::perform(const SendSharing &send)
+{
+    this->sendTo(send.peer, std::visit([](const auto &typed) { return PeerMessage(typed); }, send.message));
+}
+
+void RouteControl::sendTo(const std::string &peer, const PeerMessage &message)
 {
     if (this->links) {
-        const PeerMessage message = std::visit([](const auto &typed) { return PeerMessage(typed); }, send.message);
-        this->links->send(send.peer, encodePeerMessage(message));
+        this->links->send(peer, encodePeerMessage(message));
+    }
+}
+
+void RouteControl::shareServerNews()
+{
+    const std::shared_ptr<const Topology> current = this->options.topology.load();
+    const std::vector<ServerUse> uses = collectUses(*current);
+    if (!uses.empty()) {
+        for (const std::string &relay : this->sharing.linkedRelays()) {
+            this->sendTo(relay, PeerServerUses{.uses = uses});
+        }
+    }
+    if (!this->sharing.isRelay()) {
+        return;
+    }
+    this->serverNews.note(uses);
+    const std::vector<ServerWarning> warnings = this->serverNews.nextWarnings();
+    if (warnings.empty()) {
+        return;
+    }
+    applyWarnings(*current, warnings, steadyNow());
+    for (const std::string &peer : this->sharing.linkedNeighbours()) {
+        this->sendTo(peer, PeerServerWarnings{.warnings = warnings});
     }
 }
 
--- a/lib/Wire/PeerCodec.cpp
+++ b/lib/Wire/PeerCodec.cpp
@@ -11,7 +11,19 @@
 namespace ragwort {
 
 /// Numbers on the wire; never reused for another meaning.
-enum class PeerType { hello = 1, digest = 2, documents = 3, statuses = 4, accusation = 5, accusationAck = 6, warmUp = 7, storeDigest = 8, storeEvents = 9 };
+enum class PeerType {
+    hello = 1,
+    digest = 2,
+    documents = 3,
+    statuses = 4,
+    accusation = 5,
+    accusationAck = 6,
+    warmUp = 7,
+    storeDigest = 8,
+    storeEvents = 9,
+    serverUses = 10,
+    serverWarnings = 11
+};
 
 /// Type, first and last revision, grace, changes.
 static constexpr qsizetype STORE_EVENTS_FIELDS = 5;
@@ -150,6 +162,24 @@
     return array;
 }
 
+static QCborArray encode(const PeerServerUses &told)
+{
+    QCborArray array = begin(PeerType::serverUses);
+    for (const ServerUse &use : told.uses) {
+        array.append(QCborArray{text(use.serverId), number(use.ended), number(use.bad)});
+    }
+    return array;
+}
+
+static QCborArray encode(const PeerServerWarnings &told)
+{
+    QCborArray array = begin(PeerType::serverWarnings);
+    for (const ServerWarning &warning : told.warnings) {
+        array.append(QCborArray{text(warning.serverId), warning.badPerMille});
+    }
+    return array;
+}
+
 std::string encodePeerMessage(const PeerMessage &message)
 {
     const QCborArray array = std::visit([](const auto &typed) { return encode(typed); }, message);
@@ -225,6 +255,27 @@
     return message;
 }
 
+static PeerServerUses decodeUses(const QCborArray &array)
+{
+    PeerServerUses told;
+    for (qsizetype index = 1; index < array.size(); ++index) {
+        const QCborArray use = array.at(index).toArray();
+        told.uses.push_back(
+            {.serverId = textOf(use.at(0)), .ended = static_cast<std::uint32_t>(numberOf(use.at(1))), .bad = static_cast<std::uint32_t>(numberOf(use.at(2)))});
+    }
+    return told;
+}
+
+static PeerServerWarnings decodeWarnings(const QCborArray &array)
+{
+    PeerServerWarnings told;
+    for (qsizetype index = 1; index < array.size(); ++index) {
+        const QCborArray warning = array.at(index).toArray();
+        told.warnings.push_back({.serverId = textOf(warning.at(0)), .badPerMille = static_cast<int>(warning.at(1).toInteger())});
+    }
+    return told;
+}
+
 Result<PeerMessage> decodePeerMessage(std::string_view bytes, const std::string &peer)
 {
     QCborParserError error{};
@@ -265,6 +316,10 @@
             return malformed("store events without their changes");
         }
         return PeerMessage(decodeStoreEvents(array));
+    case PeerType::serverUses:
+        return PeerMessage(decodeUses(array));
+    case PeerType::serverWarnings:
+        return PeerMessage(decodeWarnings(array));
     }
     return malformed("unknown type");
 }
--- a/unittests/Kernel/ForwardStepsTest.cpp
+++ b/unittests/Kernel/ForwardStepsTest.cpp
@@ -436,6 +436,74 @@
     EXPECT_EQ(hedgesWithSlowParts(2), 2U);
 }
 
+TEST(ForwardStepsTest, afterAPowerLossServersWithoutRoomForConnectionsArePassedByThoughTheAllowanceIsSpent)
+{
+    RouteHarness harness;
+    for (Route &route : harness.table.routes) {
+        route.group.extraBurst = 0.0;
+        route.group.extraLoad = 0.0;
+    }
+    harness.publish();
+    harness.ask();
+    const std::vector<SubRequest> sends = harness.takeSends();
+    // One shard more or less would not matter to the answer, so that no extra sub-request would be spent on it.
+    harness.fail(sends[0], SubFailure::connectFailed);
+    ASSERT_EQ(harness.sends.size(), 1U);
+    EXPECT_NE(harness.sends[0].serverId, sends[0].serverId);
+    EXPECT_EQ(harness.sends[0].serverId.substr(0, 2), sends[0].serverId.substr(0, 2));
+}
+
+TEST(ForwardStepsTest, aServerThatPeersWarnOfIsAvoidedWhileTheWarningIsFresh)
+{
+    RouteHarness harness;
+    harness.learn(milliseconds(20), 60);
+    harness.servers.at("s0-a")->warn(900, harness.now);
+    int chosen = 0;
+    for (int query = 0; query < 20; ++query) {
+        harness.ask();
+        harness.pass(milliseconds(20));
+        for (const SubRequest &request : harness.takeSends()) {
+            chosen += request.serverId == "s0-a" ? 1 : 0;
+            harness.answer(request);
+        }
+    }
+    EXPECT_LE(chosen, 1) << "but for one choice in many that ignores what is known";
+    harness.pass(std::chrono::seconds(30));
+    chosen = 0;
+    for (int query = 0; query < 60; ++query) {
+        harness.ask();
+        harness.pass(milliseconds(20));
+        for (const SubRequest &request : harness.takeSends()) {
+            chosen += request.serverId == "s0-a" ? 1 : 0;
+            harness.answer(request);
+        }
+    }
+    EXPECT_GE(chosen, 5);
+}
+
+TEST(ForwardStepsTest, slowAndFailedAttemptsAreCountedForThePeers)
+{
+    RouteHarness harness;
+    harness.learn(milliseconds(20), 20);
+    for (const auto &[id, server] : harness.servers) {
+        server->endedUses = 0;
+        server->badUses = 0;
+    }
+    harness.ask();
+    const std::vector<SubRequest> sends = harness.takeSends();
+    harness.fail(sends[1], SubFailure::lost);
+    harness.fail(sends[2], SubFailure::shed);
+    harness.pass(milliseconds(20));
+    harness.answer(sends[3]);
+    harness.pass(milliseconds(60));
+    harness.answer(sends[0]);
+    EXPECT_EQ(harness.servers.at(sends[0].serverId)->badUses, 1U);
+    EXPECT_EQ(harness.servers.at(sends[1].serverId)->badUses, 1U);
+    EXPECT_EQ(harness.servers.at(sends[2].serverId)->endedUses, 0U) << "a server without room is not a slow one";
+    EXPECT_EQ(harness.servers.at(sends[3].serverId)->endedUses, 1U);
+    EXPECT_EQ(harness.servers.at(sends[3].serverId)->badUses, 0U);
+}
+
 TEST(ForwardStepsTest, aDarkServerIsAvoidedByRequestsThatMayNotBeRepeated)
 {
     RouteHarness harness;
