Fewer system calls a sub-request: idle connections are looked at before use, timers are lazy, nobody posts to himself

Cause: on 0.12 of a core a gathered request of 54 shards took 6.5 ms of processor time, half of its latency. strace of the request thread: for each sub-request one EPOLL_CTL_MOD, which the watch of the idle connection costs, a writable event that follows from it, 1.2 timerfd_settime and two epoll_wait. Ruled out: the interrupter of Asio (no eventfd writes seen), logging (0.25 futex).

Relays without listeners keep the long watch.

--- a/include/ragwortcart/Control/StoreSharing.h
+++ b/include/ragwortcart/Control/StoreSharing.h
@@ -101,6 +101,9 @@
         return this->relay;
     }
 
+    /// Whether a peer hears of the store's changes from this instance.
+    bool hasSubscribers() const;
+
     /// The linked relays of this failure domain, and all its linked instances.
     std::vector<std::string> linkedRelays() const;
     std::vector<std::string> linkedNeighbours() const;
--- a/include/ragwortcart/Runtime/Worker.h
+++ b/include/ragwortcart/Runtime/Worker.h
@@ -78,6 +78,17 @@
     /// Runs \p task on this worker's thread. Any thread.
     void post(std::function<void()> task);
 
+    /// Runs \p task at once if \p caller, on whose thread the call is made, is this worker; else posts it.
+    template <typename Task>
+    void runHere(const Worker &caller, Task task)
+    {
+        if (&caller == this) {
+            task();
+        } else {
+            this->post(std::move(task));
+        }
+    }
+
     /// Replaces what callers may use up. Any thread.
     void setCallerBounds(const HttpServer::Bounds &bounds);
 
--- a/lib/Control/StoreSharing.cpp
+++ b/lib/Control/StoreSharing.cpp
@@ -268,6 +268,11 @@
     }
 }
 
+bool StoreSharing::hasSubscribers() const
+{
+    return std::any_of(this->peers.begin(), this->peers.end(), [](const auto &peer) { return peer.second.subscribed; });
+}
+
 std::vector<std::string> StoreSharing::linkedRelays() const
 {
     std::vector<std::string> linked = this->relaysOf(this->options.domain);
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -136,7 +136,7 @@
     }
     this->parked = false;
     this->storeCalls.add();
-    const Duration soundWait = this->sharing.isRelay() ? this->options.relayWatchWait : this->options.watchWait;
+    const Duration soundWait = this->sharing.hasSubscribers() ? this->options.relayWatchWait : this->options.watchWait;
     const Duration wait = this->failuresInRow == 0 ? soundWait : PROBE_WAIT;
     this->options.store.watch({}, this->revision, wait, [this](const Result<StoreEvents> &events) { this->onEvents(events); });
 }
--- a/lib/Runtime/Worker.cpp
+++ b/lib/Runtime/Worker.cpp
@@ -208,7 +208,7 @@
     std::visit(Visitor{[this](const SendSubRequest &send) { this->send(send.request); },
                        [this](const CancelSubRequest &cancel) {
                            Worker &home = this->homeOf(cancel.serverId);
-                           home.post([&home, query = cancel.query, attempt = cancel.attempt] { home.client.cancel(query, attempt); });
+                           home.runHere(*this, [&home, query = cancel.query, attempt = cancel.attempt] { home.client.cancel(query, attempt); });
                        },
                        [this](const ReplyToCaller &answered) { this->reply(answered.answer); },
                        [this](const RequestClaim &claim) { this->options.control(claim); },
@@ -231,7 +231,7 @@
         }
     }
     Worker &home = this->homeOf(request.serverId);
-    home.post([this, &home, request, limits] {
+    home.runHere(*this, [this, &home, request, limits] {
         home.client.send(request, limits, [this, query = request.query, attempt = request.attempt](SubOutcome outcome) {
             if (auto *answer = std::get_if<SubAnswer>(&outcome)) {
                 this->postEvent(SubAnswered{.query = query, .attempt = attempt, .answer = std::move(*answer)});
--- a/lib/Wire/BackendClient.cpp
+++ b/lib/Wire/BackendClient.cpp
@@ -7,8 +7,10 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <deque>
 #include <map>
+#include <sys/socket.h>
 #include <unordered_map>
 #include <vector>
 
@@ -20,6 +22,8 @@
 using ErrorCode = boost::system::error_code;
 
 static constexpr std::size_t MAXIMUM_ANSWER_BYTES = 4 * 1024 * 1024;
+/// Idle connections whose time is up are closed together, at most this late.
+static constexpr Duration IDLE_SWEEP_GRAIN = std::chrono::milliseconds(250);
 
 namespace {
 
@@ -67,7 +71,7 @@
 class BackendClient::Core : public std::enable_shared_from_this<BackendClient::Core>
 {
 public:
-    Core(EventLoop &eventLoop, const Options &clientOptions) : loop(eventLoop), options(clientOptions)
+    Core(EventLoop &eventLoop, const Options &clientOptions) : loop(eventLoop), options(clientOptions), sweepTimer(eventLoop)
     {
     }
 
@@ -88,8 +92,15 @@
 
 private:
     ServerPool &poolOf(const std::string &address);
+    /// An idle connection whose other end is still there, or nothing. Adds those that it passes over to \p dead.
+    static ConnectionPointer takeIdle(ServerPool &pool, std::vector<ConnectionPointer> &dead);
+    void serveWaiting(ServerPool &pool, std::vector<ConnectionPointer> &dead);
+    void scheduleSweep(Instant due);
+    void sweepIdle();
 
     std::map<std::string, std::unique_ptr<ServerPool>> pools;
+    LoopTimer sweepTimer;
+    std::optional<Instant> sweepAt;
 };
 
 namespace {
@@ -130,7 +141,6 @@
 
     void start(PendingRequest request)
     {
-        this->timer.cancel();
         this->current = std::move(request);
         this->writeRequest();
     }
@@ -144,7 +154,12 @@
             this->close();
             return;
         }
-        this->armTimer(this->core.options.cancelGrace, [](Connection &self) { self.close(); });
+        this->armTimer(this->core.options.cancelGrace, [](Connection &self) {
+            // The answer may have come in the same moment, and the connection may serve another request by now.
+            if (self.abandoned) {
+                self.close();
+            }
+        });
     }
 
     bool isAbandoned() const
@@ -152,16 +167,12 @@
         return this->abandoned;
     }
 
-    void watchIdle()
+    /// False if the server has closed the idle connection or speaks out of turn. Looked at before use only: waiting for it
+    /// would cost two system calls a request.
+    bool isQuiet()
     {
-        this->armTimer(this->pool.idleTimeout, [](Connection &self) { self.close(); });
-        const std::uint64_t served = this->servedRequests;
-        this->socket.async_wait(Tcp::socket::wait_read, [self = this->shared_from_this(), served](const ErrorCode &) {
-            // Readable without a request: the server has closed the connection or speaks out of turn.
-            if (!self->closed && self->isIdle && self->servedRequests == served) {
-                self->close();
-            }
-        });
+        char byte = 0;
+        return ::recv(this->socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
     void close()
@@ -184,7 +195,8 @@
         return this->pool;
     }
 
-    bool isIdle = false;
+    /// When an idle connection is given back.
+    Instant idleUntil{};
     PendingRequest current;
 
 private:
@@ -200,9 +212,7 @@
 
     void writeRequest()
     {
-        this->isIdle = false;
         this->requestSent = true;
-        ++this->servedRequests;
         ++this->core.counts.requests;
         BackendCall call = this->core.options.protocol.encode(this->current.request, steadyNow());
         this->request = {};
@@ -256,7 +266,9 @@
         }
         const BackendClient::Completion completion = std::exchange(this->current.completion, nullptr);
         this->core.running.erase(this->current.key);
-        this->abandoned = false;
+        if (std::exchange(this->abandoned, false)) {
+            this->timer.cancel();
+        }
         if (reusable) {
             this->core.release(this->shared_from_this());
         } else {
@@ -321,7 +333,6 @@
     boost::beast::flat_buffer buffer;
     http::request<http::string_body> request;
     std::optional<http::response_parser<http::string_body>> parser;
-    std::uint64_t servedRequests = 0;
     /// False while the first request still waits for the connection.
     bool requestSent = false;
     bool abandoned = false;
@@ -429,11 +440,18 @@
 }
 
 void BackendClient::Core::pump(ServerPool &pool)
+{
+    std::vector<ConnectionPointer> dead;
+    this->serveWaiting(pool, dead);
+    for (const ConnectionPointer &connection : dead) {
+        connection->close();
+    }
+}
+
+void BackendClient::Core::serveWaiting(ServerPool &pool, std::vector<ConnectionPointer> &dead)
 {
     while (!pool.waiting.empty()) {
-        if (!pool.idle.empty()) {
-            const ConnectionPointer connection = pool.idle.back();
-            pool.idle.pop_back();
+        if (const ConnectionPointer connection = takeIdle(pool, dead)) {
             PendingRequest request = std::move(pool.waiting.front());
             pool.waiting.pop_front();
             this->running[request.key] = connection;
@@ -475,12 +493,58 @@
         connection->close();
         return;
     }
-    connection->isIdle = true;
+    connection->idleUntil = steadyNow() + pool.idleTimeout;
     pool.idle.push_back(connection);
-    connection->watchIdle();
+    this->scheduleSweep(connection->idleUntil);
     this->pump(pool);
 }
 
+ConnectionPointer BackendClient::Core::takeIdle(ServerPool &pool, std::vector<ConnectionPointer> &dead)
+{
+    while (!pool.idle.empty()) {
+        const ConnectionPointer connection = pool.idle.back();
+        pool.idle.pop_back();
+        if (connection->isQuiet()) {
+            return connection;
+        }
+        std::erase(pool.all, connection);
+        dead.push_back(connection);
+    }
+    return nullptr;
+}
+
+void BackendClient::Core::scheduleSweep(Instant due)
+{
+    if (this->sweepAt && *this->sweepAt <= due) {
+        return;
+    }
+    this->sweepAt = std::max(due, steadyNow() + IDLE_SWEEP_GRAIN);
+    this->sweepTimer.arm(*this->sweepAt, [this] { this->sweepIdle(); });
+}
+
+void BackendClient::Core::sweepIdle()
+{
+    this->sweepAt.reset();
+    const Instant now = steadyNow();
+    std::vector<ConnectionPointer> due;
+    std::optional<Instant> next;
+    for (const auto &[address, pool] : this->pools) {
+        for (const ConnectionPointer &connection : pool->idle) {
+            if (connection->idleUntil <= now) {
+                due.push_back(connection);
+            } else if (!next || connection->idleUntil < *next) {
+                next = connection->idleUntil;
+            }
+        }
+    }
+    for (const ConnectionPointer &connection : due) {
+        connection->close();
+    }
+    if (next) {
+        this->scheduleSweep(*next);
+    }
+}
+
 void BackendClient::Core::closeIdle(ServerPool &pool)
 {
     const std::vector<ConnectionPointer> idle = pool.idle;
--- a/lib/Wire/EventLoop.cpp
+++ b/lib/Wire/EventLoop.cpp
@@ -39,13 +39,43 @@
     });
 }
 
-struct LoopTimer::State
+struct LoopTimer::State : std::enable_shared_from_this<LoopTimer::State>
 {
     explicit State(boost::asio::io_context &context) : timer(context)
     {
     }
 
+    void wait(Instant at)
+    {
+        this->waitingUntil = at;
+        this->timer.expires_at(at);
+        this->timer.async_wait([keep = this->shared_from_this(), number = ++this->generation](const boost::system::error_code &error) {
+            if (!error && keep->generation == number) {
+                keep->onWaited();
+            }
+        });
+    }
+
+    void onWaited()
+    {
+        this->waitingUntil.reset();
+        if (!this->due) {
+            return;
+        }
+        if (*this->due > steadyNow()) {
+            this->wait(*this->due);
+            return;
+        }
+        this->due.reset();
+        std::exchange(this->task, nullptr)();
+    }
+
     boost::asio::steady_timer timer;
+    std::function<void()> task;
+    /// When the task is to run; nothing if it was cancelled.
+    std::optional<Instant> due;
+    /// Invariant: never later than `due`. An earlier wait is kept, as starting one anew costs a system call.
+    std::optional<Instant> waitingUntil;
     /// Tells a wait that completed just before it was replaced from the current one.
     std::uint64_t generation = 0;
 };
@@ -57,23 +87,23 @@
 LoopTimer::~LoopTimer()
 {
     this->cancel();
+    ++this->state->generation;
+    this->state->timer.cancel();
 }
 
 void LoopTimer::arm(Instant at, std::function<void()> task)
 {
-    const std::uint64_t generation = ++this->state->generation;
-    this->state->timer.expires_at(at);
-    this->state->timer.async_wait([keep = this->state, generation, task = std::move(task)](const boost::system::error_code &error) {
-        if (!error && keep->generation == generation) {
-            task();
-        }
-    });
+    this->state->task = std::move(task);
+    this->state->due = at;
+    if (!this->state->waitingUntil || *this->state->waitingUntil > at) {
+        this->state->wait(at);
+    }
 }
 
 void LoopTimer::cancel()
 {
-    ++this->state->generation;
-    this->state->timer.cancel();
+    this->state->due.reset();
+    this->state->task = nullptr;
 }
 
 std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(const std::string &address)
--- a/unittests/Control/StoreSharingTest.cpp
+++ b/unittests/Control/StoreSharingTest.cpp
@@ -273,6 +273,12 @@
     this->expectAllKnow("k1");
     for (const auto &[name, node] : this->nodes) {
         EXPECT_EQ(node.storeCalls > 0, node.sharing->isRelay()) << name;
+        EXPECT_TRUE(node.sharing->isRelay() || !node.sharing->hasSubscribers()) << name;
+    }
+    for (const auto &[name, node] : this->nodes) {
+        if (!node.sharing->isRelay()) {
+            EXPECT_TRUE(this->nodes.at(node.sharing->followed().value_or(name)).sharing->hasSubscribers()) << name;
+        }
     }
 }
 
--- a/unittests/Wire/BackendClientTest.cpp
+++ b/unittests/Wire/BackendClientTest.cpp
@@ -209,6 +209,41 @@
     EXPECT_LE(this->client->counts().connects, 2U);
 }
 
+TEST_F(BackendClientTest, aConnectionThatWasSavedAfterACancelServesTheNextRequestAsLongAsItTakes)
+{
+    this->exchange("x");
+    const SubRequest cancelled = this->request("hold");
+    this->thread.call([&] { this->client->send(cancelled, {.bound = 1}, [](const SubOutcome &) {}); });
+    ASSERT_TRUE(eventually([this] { return this->received == 2; }));
+    this->thread.call([&] {
+        this->client->cancel(cancelled.query, cancelled.attempt);
+        this->reply(this->held.back(), cancelled.query, cancelled.attempt);
+    });
+    const SubRequest slow = this->request("hold");
+    std::atomic<bool> answered{false};
+    this->thread.call(
+        [&] { this->client->send(slow, {.bound = 1}, [&answered](const SubOutcome &outcome) { answered = std::holds_alternative<SubAnswer>(outcome); }); });
+    ASSERT_TRUE(eventually([this] { return this->received == 3; }));
+    EXPECT_EQ(this->client->counts().connects, 1U);
+    // Well beyond the time that an abandoned answer has.
+    std::this_thread::sleep_for(std::chrono::milliseconds(80));
+    this->thread.call([&] { this->reply(this->held.back(), slow.query, slow.attempt); });
+    EXPECT_TRUE(eventually([&answered] { return answered.load(); }));
+}
+
+TEST_F(BackendClientTest, anIdleConnectionThatTheServerClosedIsNotUsedAgain)
+{
+    this->exchange("x");
+    ASSERT_TRUE(eventually([this] { return this->thread.call([this] { return this->server->counts().openConnections; }) == 1U; }));
+    const std::string before = this->address;
+    this->thread.call([&] {
+        this->server.reset();
+        this->startServer(before);
+    });
+    EXPECT_EQ(std::get<SubAnswer>(this->exchange("x")).snapshot, 3U);
+    EXPECT_EQ(this->client->counts().connects, 2U);
+}
+
 TEST_F(BackendClientTest, aRequestCancelledBeforeItsConnectionStandsIsNeverSent)
 {
     this->thread.call([&] {
