Where a server has no room for two lives of every instance, each keeps to one replica

With 61 instances and room for 62, connections counted as plentiful: each instance held one to every server. Ruled out: slow starts (0.14 s from the process to its first list); the allowance for extra load (retries of what reached no server are free). Tests: the sum over 61 instances stays below half of a server's room; the choice keeps to a replica until it hangs.

--- a/include/ragwortcart/Control/ServerRegistry.h
+++ b/include/ragwortcart/Control/ServerRegistry.h
@@ -80,6 +80,8 @@
 
     void updateBarriers(const Server &server) const;
     void updateShare(const Server &server, const RouteTable &routes) const;
+    /// Orders the replicas of a service whose connections are scarce, the own failure domain's first.
+    void updateDetours(std::span<const ServerPointer> replicas) const;
     int instancesIn(const std::string &domain) const;
     /// How many instances come before this one in the order in which they may hold connections to the server.
     int ownerRank(const Server &server) const;
--- a/lib/Control/ServerRegistry.cpp
+++ b/lib/Control/ServerRegistry.cpp
@@ -15,6 +15,10 @@
 /// The part of a server's connections that owners may hold when there are fewer of them than instances, in percent; the rest
 /// is for instances that see another list, and for those that have no other replica left.
 static constexpr int OWNED_PERCENT = 85;
+/// After a loss of power a server holds the connections of former lives beside the new ones.
+static constexpr int LIVES_HELD = 2;
+/// By how much a replica must be faster than the one before it in an instance's order: more than a new connection costs.
+static constexpr Duration DETOUR_STEP = std::chrono::milliseconds(6);
 /// Room left for instances that start before the others have heard of them.
 static constexpr int JOINING_INSTANCES = 1;
 
@@ -199,7 +203,7 @@
     const int sharers = this->liveInstances() + JOINING_INSTANCES;
     const int connections = service->second.connections;
     server.record->warmShare.store(std::max(1, connections / sharers));
-    server.record->scarceConnections.store(connections < sharers);
+    server.record->scarceConnections.store(connections < sharers * LIVES_HELD);
     server.record->owned.store(connections >= sharers || this->ownerRank(server) < connections * OWNED_PERCENT / 100);
     // The instances of a cold server's own failure domain divide what it bears; the others leave it alone.
     const int owners = this->instancesIn(server.entry.domain);
@@ -212,6 +216,22 @@
     }
 }
 
+void ServerRegistry::updateDetours(std::span<const ServerPointer> replicas) const
+{
+    std::vector<ServerPointer> ordered(replicas.begin(), replicas.end());
+    const auto order = [this](const ServerPointer &server) {
+        return std::pair(server->foreign.load(std::memory_order_relaxed), stableHash(this->options.instance, stableHash(server->identity.id)));
+    };
+    std::sort(ordered.begin(), ordered.end(), [&order](const ServerPointer &left, const ServerPointer &right) { return order(left) < order(right); });
+    std::int64_t detour = 0;
+    for (const ServerPointer &server : ordered) {
+        const bool scarce = server->scarceConnections.load(std::memory_order_relaxed);
+        server->detourUs.store(scarce ? detour : 0, std::memory_order_relaxed);
+        // A replica that takes no new work holds no place in the order.
+        detour += server->hasBarrier() ? 0 : DETOUR_STEP.count();
+    }
+}
+
 std::shared_ptr<const Topology> ServerRegistry::build(const RouteTable &routes)
 {
     auto topology = std::make_shared<Topology>();
@@ -222,6 +242,9 @@
         topology->servers[id] = server.record;
         topology->services[server.entry.service].push_back(server.record);
     }
+    for (const auto &[service, replicas] : topology->services) {
+        this->updateDetours(replicas);
+    }
     return topology;
 }
 
--- a/lib/Policies/BalancePolicies.cpp
+++ b/lib/Policies/BalancePolicies.cpp
@@ -98,8 +98,9 @@
             = server.warnedPerMille.load(std::memory_order_relaxed) / 1000.0 * freshness(server.warnedAtUs, now) * static_cast<double>(FAILURE_COST.count());
         // What is left of an old warning must not decide between servers that are otherwise equal.
         const double warned = warning < static_cast<double>(NEGLIGIBLE_WARNING.count()) ? 0.0 : warning;
+        const auto detour = static_cast<double>(server.detourUs.load(std::memory_order_relaxed));
         // Equal waits are told apart by the load, so that idle servers share the work.
-        return latency * (1.0 + queue + LOAD_PREFERENCE * load) + failures + silence + warned;
+        return latency * (1.0 + queue + LOAD_PREFERENCE * load) + failures + silence + warned + detour;
     }
 };
 
--- a/lib/Runtime/Worker.cpp
+++ b/lib/Runtime/Worker.cpp
@@ -12,9 +12,9 @@
 
 namespace ragwort {
 
-/// Where connections are fewer than instances, those to other failure domains are given back after this time without use, so
-/// that there is room for instances that start again while the servers still hold the connections of their former lives.
-static constexpr Duration SCARCE_IDLE_TIMEOUT = std::chrono::seconds(2);
+/// Where connections are fewer than instances, those to other replicas than the usual one are given back after this time without
+/// use, so that there is room for instances that start again while the servers still hold the connections of their former lives.
+static constexpr Duration SCARCE_IDLE_TIMEOUT = std::chrono::seconds(1);
 
 Worker::Worker(Options workerOptions)
     : options(std::move(workerOptions))
@@ -226,7 +226,7 @@
     BackendClient::ConnectionLimits limits{.bound = 1};
     if (found != this->topology.get()->servers.end()) {
         limits.bound = found->second->warmShare.load(std::memory_order_relaxed);
-        if (found->second->scarceConnections.load(std::memory_order_relaxed) && found->second->foreign.load(std::memory_order_relaxed)) {
+        if (found->second->scarceConnections.load(std::memory_order_relaxed) && found->second->detourUs.load(std::memory_order_relaxed) > 0) {
             limits.idleTimeout = SCARCE_IDLE_TIMEOUT;
         }
     }
--- a/unittests/Control/ServerRegistryTest.cpp
+++ b/unittests/Control/ServerRegistryTest.cpp
@@ -190,4 +190,49 @@
     }
 }
 
+/// After all machines have lost power, the servers still hold the connections of their former lives: all instances find
+/// room again only if they held less than half of a server's connections.
+TEST(ServerRegistryOwnersTest, whereConnectionsAreScarceEachInstanceKeepsToOneReplicaAndAllTogetherToHalfOfTheConnections)
+{
+    static constexpr int INSTANCES = 61;
+    static constexpr int CONNECTIONS = 62;
+    static const std::vector<std::string> DOMAINS = {"a", "b", "c", "d", "e"};
+    RouteTable routes;
+    std::map<std::string, int> preferredBy;
+    for (int self = 0; self < INSTANCES; ++self) {
+        const std::string domain = DOMAINS[self % 5];
+        ServerRegistry registry({.instance = "i" + std::to_string(self), .domain = domain});
+        for (int other = 0; other < INSTANCES; ++other) {
+            registry.setInstance({.name = "i" + std::to_string(other), .domain = DOMAINS[other % 5]});
+        }
+        for (int shard = 0; shard < 36; ++shard) {
+            const std::string service = "s" + std::to_string(shard);
+            routes.services[service] = {.connections = CONNECTIONS};
+            for (int replica = 0; replica < 3; ++replica) {
+                const std::string &place = DOMAINS[(shard + replica) % 5];
+                registry.set({.id = service + place, .service = service, .address = "10.0.0.1:80", .domain = place, .slots = 4}, Instant(seconds(1)));
+            }
+        }
+        const std::shared_ptr<const Topology> topology = registry.build(routes);
+        for (const auto &[service, servers] : topology->services) {
+            int preferred = 0;
+            bool nearPreferred = false;
+            bool near = false;
+            for (const ServerPointer &server : servers) {
+                near = near || server->identity.domain == domain;
+                if (server->detourUs == 0) {
+                    ++preferred;
+                    ++preferredBy[server->identity.id];
+                    nearPreferred = server->identity.domain == domain;
+                }
+            }
+            EXPECT_EQ(preferred, 1) << service;
+            EXPECT_EQ(nearPreferred, near) << service;
+        }
+    }
+    for (const auto &[server, instances] : preferredBy) {
+        EXPECT_LT(instances, CONNECTIONS / 2) << server;
+    }
+}
+
 } // namespace ragwort
--- a/unittests/Kernel/ForwardStepsTest.cpp
+++ b/unittests/Kernel/ForwardStepsTest.cpp
@@ -481,6 +481,46 @@
     EXPECT_GE(chosen, 5);
 }
 
+TEST(ForwardStepsTest, whereConnectionsAreScarceOneReplicaIsKeptToUnlessAnotherIsMuchFaster)
+{
+    RouteHarness harness;
+    harness.learn(milliseconds(20), 60);
+    harness.servers.at("s0-a")->detourUs = 12000;
+    harness.servers.at("s0-c")->detourUs = 6000;
+    std::map<std::string, int> chosen;
+    const auto askOften = [&](Duration usual) {
+        chosen.clear();
+        for (int query = 0; query < 40; ++query) {
+            harness.ask();
+            harness.pass(milliseconds(20));
+            for (const SubRequest &request : harness.takeSends()) {
+                if (request.serverId != "s0-b") {
+                    harness.answer(request);
+                }
+                chosen[request.serverId] += 1;
+            }
+            harness.pass(usual - milliseconds(20));
+            for (const SubRequest &request : harness.takeSends()) {
+                harness.answer(request);
+            }
+            harness.endCancelled();
+        }
+    };
+    for (int query = 0; query < 40; ++query) {
+        harness.ask();
+        harness.pass(milliseconds(20));
+        for (const SubRequest &request : harness.takeSends()) {
+            chosen[request.serverId] += 1;
+            harness.answer(request);
+        }
+    }
+    EXPECT_GE(chosen["s0-b"], 38);
+    // Now it hangs.
+    askOften(milliseconds(200));
+    EXPECT_LE(chosen["s0-b"], 20);
+    EXPECT_GE(chosen["s0-c"], 10);
+}
+
 TEST(ForwardStepsTest, slowAndFailedAttemptsAreCountedForThePeers)
 {
     RouteHarness harness;
