--- /dev/null
+++ b/test/soak/stand_in.py
@@ -0,0 +1,239 @@
+"""Stand-ins of the users' platform on loopback: its metadata store, backend servers, and a proxy that harms connections."""
+
+import asyncio
+import base64
+import hashlib
+import json
+
+from aiohttp import web
+
+RECORD_BYTES = 16
+RECORDS_PER_SHARD = 6
+HISTORY_CHANGES = 400
+
+
+def digest(*parts):
+    return hashlib.sha256("|".join(parts).encode()).digest()
+
+
+def records_of(service, target):
+    """What any server of a shard answers to a request: the replicas hold the same."""
+    return [digest(service, target, str(number))[:RECORD_BYTES] for number in range(RECORDS_PER_SHARD)]
+
+
+def signature(service, server, request_id):
+    return f"{service}.{server}.{request_id}.{digest(service, server, request_id).hex()[:8]}"
+
+
+def is_signature(text, request_id):
+    """Returns the service if the text signs an answer to this request, else nothing."""
+    parts = text.split(".")
+    return parts[0] if len(parts) == 4 and text == signature(parts[0], parts[1], request_id) else None
+
+
+class Proxy:
+    """Carries connections from one address to another and harms them on order: mood is sound, refuse, silent or oneway."""
+
+    def __init__(self, listen, target):
+        self.listen, self.target = listen, target
+        self.mood = "sound"
+        self.delay_s = 0.0
+        self.harmed_at = -100.0
+        self.writers = set()
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, *self.listen)
+
+    async def stop(self):
+        self.server.close()
+        self.reset()
+
+    def reset(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def accept(self, reader, writer):
+        if self.mood == "refuse":
+            writer.transport.abort()
+            return
+        self.writers.add(writer)
+        other = None
+        try:
+            while self.mood in ("silent", "oneway"):
+                await asyncio.sleep(0.05)
+            other_reader, other = await asyncio.open_connection(*self.target)
+            self.writers.add(other)
+            await asyncio.gather(self.carry(reader, other, False), self.carry(other_reader, writer, True))
+        except OSError:
+            writer.transport.abort()
+        finally:
+            for end in (writer, other):
+                if end is not None:
+                    self.writers.discard(end)
+                    end.close()
+
+    async def carry(self, reader, writer, backwards):
+        while data := await reader.read(65536):
+            if self.delay_s:
+                await asyncio.sleep(self.delay_s)
+            while self.mood == "silent" or (self.mood == "oneway" and backwards):
+                await asyncio.sleep(0.05)
+            writer.write(data)
+            await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
+
+
+class Store:
+    """The metadata store: items, leases, watches and a bounded history. mood is sound, refuse or silent."""
+
+    def __init__(self):
+        self.items, self.history, self.leases = {}, [], {}
+        self.revision, self.oldest, self.last_lease = 1, 1, 0
+        self.mood = "sound"
+        self.lose_write_answers = 0
+        self.changed = asyncio.Condition()
+
+    async def write(self, key, value, lease=0):
+        """Writes, or deletes where the value is None; returns when the change is acknowledged."""
+        self.revision += 1
+        if value is None:
+            self.items.pop(key, None)
+        else:
+            self.items[key] = {"key": key, "value": base64.b64encode(value).decode(), "revision": self.revision, "created": self.revision, "lease": lease}
+        self.history.append(self.items.get(key) or {"key": key, "revision": self.revision, "deleted": True})
+        if len(self.history) > HISTORY_CHANGES:
+            self.forget(1)
+        async with self.changed:
+            self.changed.notify_all()
+
+    def forget(self, changes):
+        for change in self.history[:changes]:
+            self.oldest = change["revision"]
+        del self.history[:changes]
+
+    async def expire_leases(self):
+        while True:
+            await asyncio.sleep(0.2)
+            now = asyncio.get_running_loop().time()
+            for lease in [lease for lease, (until, _) in self.leases.items() if until < now]:
+                await self.end_lease(lease)
+
+    async def end_lease(self, lease):
+        if self.leases.pop(lease, None):
+            for key in [key for key, item in self.items.items() if item["lease"] == lease]:
+                await self.write(key, None)
+
+    def grant(self, ttl_ms):
+        self.last_lease += 1
+        self.leases[self.last_lease] = (asyncio.get_running_loop().time() + ttl_ms / 1000, ttl_ms)
+        return self.last_lease
+
+    async def handle(self, request):
+        if self.mood == "silent":
+            await asyncio.sleep(60)
+        if self.mood != "sound":
+            return web.json_response({}, status=503)
+        path, query = request.path, request.query
+        if path == "/kv-range":
+            keys = sorted(key for key in self.items if key.startswith(query.get("prefix", "")) and key > query.get("after", ""))
+            return web.json_response({"items": [self.items[key] for key in keys[:50]], "has_more": len(keys) > 50, "current_rev": self.revision})
+        if path == "/kv-watch":
+            return await self.watch(int(query["after"]), int(query["wait_ms"]) / 1000)
+        if path == "/kv-txn":
+            return await self.transact(request, await request.json())
+        if path == "/kv-lease":
+            ttl_ms = (await request.json())["ttl_ms"]
+            return web.json_response({"lease": self.grant(ttl_ms), "ttl_ms": ttl_ms})
+        lease = int(path.rsplit("/", 1)[1])
+        if path.startswith("/kv-lease-end/"):
+            await self.end_lease(lease)
+            return web.json_response({})
+        if lease not in self.leases:
+            return web.json_response({}, status=404)
+        ttl_ms = self.leases[lease][1]
+        self.leases[lease] = (asyncio.get_running_loop().time() + ttl_ms / 1000, ttl_ms)
+        return web.json_response({"ttl_ms": ttl_ms})
+
+    async def watch(self, after, wait_s):
+        def events():
+            return [change for change in self.history if change["revision"] > after]
+
+        async with self.changed:
+            try:
+                await asyncio.wait_for(self.changed.wait_for(lambda: after < self.oldest or events()), wait_s)
+            except asyncio.TimeoutError:
+                pass
+        if after < self.oldest:
+            return web.json_response({}, status=410)
+        return web.json_response({"events": events(), "current_rev": self.revision})
+
+    async def transact(self, request, body):
+        for put in body["puts"]:
+            if put["lease"] and put["lease"] not in self.leases:
+                return web.json_response({}, status=404)
+        for put in body["puts"]:
+            await self.write(put["key"], base64.b64decode(put["value"]), put["lease"])
+        if self.lose_write_answers > 0:
+            self.lose_write_answers -= 1
+            request.transport.abort()
+        return web.json_response({"revision": self.revision})
+
+
+class Backend:
+    """A backend server; what it runs is noted with the time. mood: sound, slow, failing, full, silent, losing or paused."""
+
+    def __init__(self, service, number, address, domain, world):
+        self.service, self.number, self.address, self.domain, self.world = service, number, address, domain, world
+        self.incarnation = 0
+        self.mood = "sound"
+        self.runner = None
+        self.server_id = None
+
+    async def start(self):
+        self.incarnation += 1
+        self.mood = "sound"
+        self.server_id = f"{self.service}-{self.number}-{self.incarnation}"
+        self.runner = web.ServerRunner(web.Server(self.handle, access_log=None), shutdown_timeout=0)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, *self.address, reuse_address=True).start()
+
+    async def stop(self):
+        if self.runner is not None:
+            runner, self.runner = self.runner, None
+            await runner.cleanup()
+
+    def entry(self, state="ready"):
+        return json.dumps(
+            {
+                "service": self.service,
+                "addr": "{}:{}".format(*self.world.proxies[self.service, self.number].listen),
+                "zone": self.domain,
+                "version": "v1",
+                "slots": 8,
+                "state": state,
+                "warmup_left_ms": 0,
+                "sequence": 1,
+                "born": self.incarnation,
+            }
+        ).encode()
+
+    async def handle(self, request):
+        request_id = request.headers.get("X-Request-Id", "")
+        headers = {"X-Request-Id": request_id, "X-Server-Load": "1,0,8"}
+        if request.headers.get("X-Expect-Instance", self.server_id) != self.server_id:
+            return web.Response(status=421, headers=headers)
+        if self.mood == "full":
+            return web.Response(status=503, headers={**headers, "X-Not-Run": "1"})
+        self.world.note_run(self, request, request_id)
+        mood = self.mood
+        if mood == "silent":
+            await asyncio.sleep(30)
+        await asyncio.sleep(0.2 if mood == "slow" else 0.004)
+        if mood == "losing":
+            request.transport.abort()
+            return web.Response()
+        headers["X-Server-Stamp"] = signature(self.service, self.server_id, request_id)
+        body = b"".join(records_of(self.service, request.path_qs))
+        return web.Response(status=500 if mood == "failing" else 200, headers=headers, body=body, content_type="application/octet-stream")
--- a/unittests/Platform/RouteProcessTest.cpp
+++ b/unittests/Platform/RouteProcessTest.cpp
@@ -21,6 +21,9 @@
 static constexpr int CALLERS_PORT = 18701;
 static constexpr int READY_PORT = 18702;
 static constexpr int METRICS_PORT = 18703;
+static constexpr int PEERS_PORT = 18704;
+/// Between the ports of one instance and the next.
+static constexpr int PORTS_OF_INSTANCE = 10;
 
 namespace {
 
@@ -41,11 +44,13 @@
         });
         ASSERT_TRUE(storePort);
         this->client = std::make_unique<StoreClient>(StoreClient::Options{.address = "127.0.0.1:" + std::to_string(*storePort)});
+        this->storeAddress = "127.0.0.1:" + std::to_string(*storePort);
         this->process = std::make_unique<RouteProcess>(RouteProcess::Options{.settings = {.instance = "i1",
                                                                                           .domain = "a",
                                                                                           .callersAddress = "127.0.0.1:" + std::to_string(CALLERS_PORT),
                                                                                           .readyAddress = "127.0.0.1:" + std::to_string(READY_PORT),
                                                                                           .metricsAddress = "127.0.0.1:" + std::to_string(METRICS_PORT),
+                                                                                          .peersAddress = "127.0.0.1:" + std::to_string(PEERS_PORT),
                                                                                           .stopTime = std::chrono::seconds(2)},
                                                                              .store = *this->client,
                                                                              .storeFormat = this->format,
@@ -56,6 +61,7 @@
 
     void TearDown() override
     {
+        this->peers.clear();
         this->process.reset();
         this->client.reset();
         this->thread.call([this] {
@@ -65,6 +71,27 @@
         });
     }
 
+    /// Another instance of the same failure domain, numbered from 2.
+    void startPeer(int number)
+    {
+        const auto address = [number](int port) { return "127.0.0.1:" + std::to_string(port + PORTS_OF_INSTANCE * (number - 1)); };
+        Peer peer;
+        peer.client = std::make_unique<StoreClient>(StoreClient::Options{.address = this->storeAddress});
+        peer.process = std::make_unique<RouteProcess>(RouteProcess::Options{.settings = {.instance = "i" + std::to_string(number),
+                                                                                         .domain = "a",
+                                                                                         .callersAddress = address(CALLERS_PORT),
+                                                                                         .readyAddress = address(READY_PORT),
+                                                                                         .metricsAddress = address(METRICS_PORT),
+                                                                                         .peersAddress = address(PEERS_PORT),
+                                                                                         .stopTime = std::chrono::seconds(2)},
+                                                                            .store = *peer.client,
+                                                                            .storeFormat = this->format,
+                                                                            .callerProtocol = this->callers,
+                                                                            .backendProtocol = this->backends});
+        ASSERT_TRUE(peer.process->start());
+        this->peers.push_back(std::move(peer));
+    }
+
     void startServers()
     {
         for (int service = 0; service < 4; ++service) {
@@ -199,7 +226,15 @@
         });
     }
 
+    struct Peer
+    {
+        std::unique_ptr<StoreClient> client;
+        std::unique_ptr<RouteProcess> process;
+    };
+
     LoopThread thread;
+    std::string storeAddress;
+    std::vector<Peer> peers;
     std::unique_ptr<StandInStore> store;
     std::map<std::string, std::unique_ptr<StandInServer>> servers;
     std::map<std::string, std::uint16_t> ports;
@@ -318,6 +353,22 @@
     EXPECT_TRUE(pumpUntil([this] { return statusOf(this->get(CALLERS_PORT, "/extra/1")) == 200; }));
 }
 
+TEST_F(RouteProcessTest, ofFourInstancesTwoWatchTheStoreAndAllHearOfANewRoute)
+{
+    for (int number = 2; number <= 4; ++number) {
+        this->startPeer(number);
+    }
+    this->startAll();
+    const auto watches = [this] { return this->thread.call([this] { return this->store->openWatches(); }); };
+    ASSERT_TRUE(pumpUntil([&watches] { return watches() == 2; })) << watches();
+    this->putRoutes(2, {"s0", "s1", "s2", "s3"}, "/extra/");
+    for (int number = 1; number <= 4; ++number) {
+        const int port = CALLERS_PORT + PORTS_OF_INSTANCE * (number - 1);
+        EXPECT_TRUE(pumpUntil([this, port] { return statusOf(this->get(port, "/extra/1")) == 200; })) << number;
+    }
+    EXPECT_LE(watches(), 2U);
+}
+
 TEST_F(RouteProcessTest, whoStopsServesOpenConnectionsAndAsksThemToClose)
 {
     this->startAll();
--- a/unittests/Platform/StandIn.h
+++ b/unittests/Platform/StandIn.h
@@ -39,6 +39,10 @@
     std::uint64_t calls = 0;
 
     std::size_t count(const std::string &prefix) const;
+    std::size_t openWatches() const
+    {
+        return this->watches.size();
+    }
 
 private:
     struct Item
