Relays grow with their failure domain; each instance listens to its own of them

Change: a relay for each 25 instances, at least two; an instance is linked with two of them and listens to the one that a hash names. A test of 100 instances in a domain failed first (two relays), then on uneven listeners, as whoever was linked first was kept.

--- a/include/ragwortcart/Control/StoreSharing.h
+++ b/include/ragwortcart/Control/StoreSharing.h
@@ -51,8 +51,10 @@
     {
         std::string instance;
         std::string domain;
-        /// Instances of each failure domain that watch the store for the others: one may be lost without a gap.
-        std::size_t relaysPerDomain = 2;
+        /// Instances of each failure domain that watch the store for the others at least: one may be lost without a gap.
+        std::size_t fewestRelays = 2;
+        /// A relay sends each change to that many instances at most, as a small machine's processor and link allow.
+        std::size_t instancesPerRelay = 25;
         /// A peer that has said nothing for this long is not relied on.
         Duration silenceLimit = std::chrono::milliseconds(1600);
         /// What is kept for peers that have fallen behind; 256 KiB is a few configurations and some hundred servers.
@@ -119,11 +121,10 @@
         bool subscribed = false;
         StoreRevision sentUpTo = 0;
     };
-    /// The lowest is listened to: near ones first, then the one listened to so far, then spread over the peers.
+    /// The lowest is listened to: near ones first, else each instance to another one.
     struct Preference
     {
         int distance = 0;
-        bool changes = false;
         std::uint64_t order = 0;
 
         auto operator<=>(const Preference &) const = default;
@@ -137,9 +138,11 @@
 
     /// The names of the instances in \p domain that relay, in order of rank.
     std::vector<std::string> relaysOf(const std::string &domain) const;
+    /// The relays of this failure domain that this instance is to be linked with.
+    std::vector<std::string> ownRelays() const;
     void updateRole();
     int distance() const;
-    Preference preference(const std::string &name, const Peer &peer, const std::optional<std::string> &current) const;
+    Preference preference(const std::string &name, const Peer &peer) const;
     bool isUsable(const Peer &peer, Instant now) const;
     void chooseSource(Instant now);
     void remember(const StoreEvent &event);
--- a/lib/Control/StoreSharing.cpp
+++ b/lib/Control/StoreSharing.cpp
@@ -64,10 +64,25 @@
     std::sort(names.begin(), names.end(), [](const std::string &left, const std::string &right) {
         return std::pair(stableHash(left), left) < std::pair(stableHash(right), right);
     });
-    names.resize(std::min(names.size(), this->options.relaysPerDomain));
+    const std::size_t wanted = std::max(this->options.fewestRelays, (names.size() + this->options.instancesPerRelay - 1) / this->options.instancesPerRelay);
+    names.resize(std::min(names.size(), wanted));
     return names;
 }
 
+std::vector<std::string> StoreSharing::ownRelays() const
+{
+    std::vector<std::string> relays = this->relaysOf(this->options.domain);
+    if (this->relay || relays.size() <= this->options.fewestRelays) {
+        return relays;
+    }
+    // Others listen to a few of many, each to its own.
+    const std::uint64_t seed = stableHash(this->options.instance);
+    std::sort(
+        relays.begin(), relays.end(), [seed](const std::string &left, const std::string &right) { return stableHash(left, seed) < stableHash(right, seed); });
+    relays.resize(this->options.fewestRelays);
+    return relays;
+}
+
 void StoreSharing::updateRole()
 {
     const std::vector<std::string> relays = this->relaysOf(this->options.domain);
@@ -82,8 +97,8 @@
             wanted[name] = this->instances.at(name).peerAddress;
         }
     };
-    for (const std::string &relay : this->relaysOf(this->options.domain)) {
-        add(relay);
+    for (const std::string &name : this->ownRelays()) {
+        add(name);
     }
     if (!this->relay) {
         return wanted;
@@ -116,9 +131,9 @@
     return peer.distance >= 0 && peer.distance <= farthest && now - peer.lastHeard < this->options.silenceLimit;
 }
 
-StoreSharing::Preference StoreSharing::preference(const std::string &name, const Peer &peer, const std::optional<std::string> &current) const
+StoreSharing::Preference StoreSharing::preference(const std::string &name, const Peer &peer) const
 {
-    return {.distance = peer.distance, .changes = current != name, .order = stableHash(name, stableHash(this->options.instance))};
+    return {.distance = peer.distance, .order = stableHash(name, stableHash(this->options.instance))};
 }
 
 void StoreSharing::chooseSource(Instant now)
@@ -131,7 +146,7 @@
             if (!this->isUsable(peer, now)) {
                 continue;
             }
-            if (!best || this->preference(name, peer, before) < this->preference(*best, this->peers.at(*best), before)) {
+            if (!best || this->preference(name, peer) < this->preference(*best, this->peers.at(*best))) {
                 best = name;
             }
         }
--- a/unittests/Control/StoreSharingTest.cpp
+++ b/unittests/Control/StoreSharingTest.cpp
@@ -282,6 +282,28 @@
     }
 }
 
+TEST_F(StoreSharingTest, aLargeDomainHasMoreRelaysAndNoneOfThemServesMoreThanItsShare)
+{
+    this->addDomain("a", 100);
+    this->run(milliseconds(2000));
+    const std::vector<std::string> relays = this->relaysIn("a");
+    EXPECT_EQ(relays.size(), 4U);
+    std::map<std::string, int> listeners;
+    for (const auto &[name, node] : this->nodes) {
+        EXPECT_LE(node.sharing->wantedLinks().size(), node.sharing->isRelay() ? 3U : 2U) << name;
+        if (!node.sharing->isRelay()) {
+            ASSERT_TRUE(node.sharing->followed()) << name;
+            ++listeners[*node.sharing->followed()];
+        }
+    }
+    for (const auto &[relay, count] : listeners) {
+        EXPECT_LE(count, 40) << relay;
+    }
+    this->write("k1");
+    this->run(milliseconds(200));
+    this->expectAllKnow("k1");
+}
+
 TEST_F(StoreSharingTest, anInstanceWithoutPeersWatchesItself)
 {
     this->addInstance("a0", "a");
