--- a/lib/Wire/BackendClient.cpp
+++ b/lib/Wire/BackendClient.cpp
@@ -3,6 +3,7 @@
 #include "ragwortcart/Wire/BackendClient.h"
 
 #include "AsioLoop.h"
+#include "StatusFetch.h"
 #include "ragwortcart/Support/Hash.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -339,85 +340,6 @@
     bool closed = false;
 };
 
-/// One question for a server's status on a connection of its own.
-class StatusFetch : public std::enable_shared_from_this<StatusFetch>
-{
-public:
-    StatusFetch(EventLoop &loop, std::string serverAddress, BackendClient::StatusCompletion whenDone)
-        : address(std::move(serverAddress)), completion(std::move(whenDone)), socket(loop.implementation().context), timer(loop.implementation().context)
-    {
-    }
-
-    void start(Duration timeout)
-    {
-        const std::optional<Tcp::endpoint> endpoint = parseEndpoint(this->address);
-        if (!endpoint) {
-            this->finish(this->error(Errc::malformedInput, "connect"));
-            return;
-        }
-        this->timer.expires_after(timeout);
-        this->timer.async_wait([self = this->shared_from_this()](const ErrorCode &error) {
-            if (!error) {
-                self->finish(self->error(Errc::timeout, "status"));
-            }
-        });
-        this->socket.async_connect(*endpoint, [self = this->shared_from_this()](const ErrorCode &error) {
-            if (error) {
-                self->finish(self->error(Errc::connectFailed, "connect"));
-                return;
-            }
-            self->exchange();
-        });
-    }
-
-private:
-    Error error(Errc code, const char *step) const
-    {
-        return {.code = code, .step = step, .peer = this->address, .detail = {}};
-    }
-
-    void exchange()
-    {
-        this->request.method(http::verb::get);
-        this->request.target("/v1/status");
-        this->request.version(11);
-        this->request.set(http::field::host, this->address);
-        this->request.keep_alive(false);
-        http::async_write(this->socket, this->request, [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
-            if (error) {
-                self->finish(self->error(Errc::connectionLost, "status"));
-                return;
-            }
-            http::async_read(self->socket, self->buffer, self->response, [self](const ErrorCode &readError, std::size_t) {
-                if (readError || self->response.result_int() != 200) {
-                    self->finish(self->error(Errc::connectionLost, "status"));
-                    return;
-                }
-                self->finish(decodeServerStatus(self->response.body(), self->address));
-            });
-        });
-    }
-
-    void finish(Result<ServerStatus> result)
-    {
-        const BackendClient::StatusCompletion done = std::exchange(this->completion, nullptr);
-        this->timer.cancel();
-        ErrorCode ignored;
-        this->socket.close(ignored);
-        if (done) {
-            done(std::move(result));
-        }
-    }
-
-    std::string address;
-    BackendClient::StatusCompletion completion;
-    Tcp::socket socket;
-    asio::steady_timer timer;
-    boost::beast::flat_buffer buffer;
-    http::request<http::empty_body> request;
-    http::response<http::string_body> response;
-};
-
 } // namespace
 
 ServerPool &BackendClient::Core::poolOf(const std::string &address)
@@ -595,7 +517,7 @@
 
 void BackendClient::Core::fetchStatus(const std::string &address, Duration timeout, StatusCompletion completion)
 {
-    std::make_shared<StatusFetch>(this->loop, address, std::move(completion))->start(timeout);
+    fetchServerStatus(this->loop, address, timeout, std::move(completion));
 }
 
 void BackendClient::Core::closeAll()
--- a/test/soak/stand_in.py
+++ b/test/soak/stand_in.py
@@ -141,10 +141,14 @@
             return web.json_response({"items": [self.items[key] for key in keys[:50]], "has_more": len(keys) > 50, "current_rev": self.revision})
         if path == "/kv-watch":
             return await self.watch(int(query["after"]), int(query["wait_ms"]) / 1000)
+        try:
+            body = await request.json() if path in ("/kv-txn", "/kv-lease") else {}
+        except ConnectionResetError:
+            return web.Response()  # The caller has gone in the middle of its request.
         if path == "/kv-txn":
-            return await self.transact(request, await request.json())
+            return await self.transact(request, body)
         if path == "/kv-lease":
-            ttl_ms = (await request.json())["ttl_ms"]
+            ttl_ms = body["ttl_ms"]
             return web.json_response({"lease": self.grant(ttl_ms), "ttl_ms": ttl_ms})
         lease = int(path.rsplit("/", 1)[1])
         if path.startswith("/kv-lease-end/"):
