--- a/include/ragwortcart/Control/StoreSharing.h
+++ b/include/ragwortcart/Control/StoreSharing.h
@@ -11,12 +11,12 @@
 #include "ragwortcart/Control/PeerMessages.h"
 #include "ragwortcart/Control/PlatformFacts.h"
 
-#include <compare>
 #include <deque>
 #include <map>
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -127,7 +127,10 @@
         int distance = 0;
         std::uint64_t order = 0;
 
-        auto operator<=>(const Preference &) const = default;
+        bool operator<(const Preference &other) const
+        {
+            return std::pair(this->distance, this->order) < std::pair(other.distance, other.order);
+        }
     };
     struct Remembered
     {
