Where not even half of the instances find room at a server, they take turns

Two replicas with 69 connections each were left for 200 machines, and whoever held one kept it for 30 s while using it once in 3.6 s. Ruled out: ownership (a server that is not owned is used if no other is left). Change: the registry bounds how long connections are held: as before where there is room, 1 s for other replicas than the usual one where they are scarce, 0.5 s for all where not half of the instances find room. The rule that read ServerRecord::scarceConnections in the worker is now the registry's.

--- a/include/ragwortcart/Control/ServerRegistry.h
+++ b/include/ragwortcart/Control/ServerRegistry.h
@@ -80,8 +80,9 @@
 
     void updateBarriers(const Server &server) const;
     void updateShare(const Server &server, const RouteTable &routes) const;
-    /// Orders the replicas of a service whose connections are scarce, the own failure domain's first.
-    void updateDetours(std::span<const ServerPointer> replicas) const;
+    /// Where the connections of a service's servers are scarce: orders the replicas, the own failure domain's first, and bounds how
+    /// long connections are held.
+    void updateUse(std::span<const ServerPointer> replicas, int connections) const;
     int instancesIn(const std::string &domain) const;
     /// How many instances come before this one in the order in which they may hold connections to the server.
     int ownerRank(const Server &server) const;
--- a/include/ragwortcart/Kernel/ServerRecord.h
+++ b/include/ragwortcart/Kernel/ServerRecord.h
@@ -124,8 +124,8 @@
     /// False when the server's connections do not suffice for all instances and others hold them: then it is used only if
     /// no other replica is left.
     std::atomic<bool> owned{true};
-    /// The server takes too few connections for all instances to hold one when all of them start again.
-    std::atomic<bool> scarceConnections{false};
+    /// How long a connection to the server may stay without use, in microseconds; zero if its connections are not scarce.
+    std::atomic<std::int64_t> idleLimitUs{0};
     /// Where connections are scarce, an instance keeps to one replica of a service unless another is faster by this much, in
     /// microseconds; zero for that replica, and everywhere if connections are not scarce.
     std::atomic<std::int64_t> detourUs{0};
--- a/lib/Control/ServerRegistry.cpp
+++ b/lib/Control/ServerRegistry.cpp
@@ -19,6 +19,11 @@
 static constexpr int LIVES_HELD = 2;
 /// By how much a replica must be faster than the one before it in an instance's order: more than a new connection costs.
 static constexpr Duration DETOUR_STEP = std::chrono::milliseconds(6);
+/// Scarce connections to other replicas than the usual one are given back after this time without use, so that there is room for
+/// instances that start again while the servers still hold the connections of their former lives.
+static constexpr Duration OTHER_REPLICA_IDLE_LIMIT = std::chrono::seconds(1);
+/// Where not even half of the instances find room, they take turns: none holds a connection for longer than this without use.
+static constexpr Duration SHARED_IDLE_LIMIT = std::chrono::milliseconds(500);
 /// Room left for instances that start before the others have heard of them.
 static constexpr int JOINING_INSTANCES = 1;
 
@@ -203,7 +208,6 @@
     const int sharers = this->liveInstances() + JOINING_INSTANCES;
     const int connections = service->second.connections;
     server.record->warmShare.store(std::max(1, connections / sharers));
-    server.record->scarceConnections.store(connections < sharers * LIVES_HELD);
     server.record->owned.store(connections >= sharers || this->ownerRank(server) < connections * OWNED_PERCENT / 100);
     // The instances of a cold server's own failure domain divide what it bears; the others leave it alone.
     const int owners = this->instancesIn(server.entry.domain);
@@ -216,8 +220,11 @@
     }
 }
 
-void ServerRegistry::updateDetours(std::span<const ServerPointer> replicas) const
+void ServerRegistry::updateUse(std::span<const ServerPointer> replicas, int connections) const
 {
+    const int sharers = this->liveInstances() + JOINING_INSTANCES;
+    const bool scarce = connections < sharers * LIVES_HELD;
+    const bool sharedInTime = connections * LIVES_HELD < sharers;
     std::vector<ServerPointer> ordered(replicas.begin(), replicas.end());
     const auto order = [this](const ServerPointer &server) {
         return std::pair(server->foreign.load(std::memory_order_relaxed), stableHash(this->options.instance, stableHash(server->identity.id)));
@@ -225,8 +232,9 @@
     std::sort(ordered.begin(), ordered.end(), [&order](const ServerPointer &left, const ServerPointer &right) { return order(left) < order(right); });
     std::int64_t detour = 0;
     for (const ServerPointer &server : ordered) {
-        const bool scarce = server->scarceConnections.load(std::memory_order_relaxed);
         server->detourUs.store(scarce ? detour : 0, std::memory_order_relaxed);
+        const Duration otherLimit = scarce && detour > 0 ? OTHER_REPLICA_IDLE_LIMIT : Duration::zero();
+        server->idleLimitUs.store((sharedInTime ? SHARED_IDLE_LIMIT : otherLimit).count(), std::memory_order_relaxed);
         // A replica that takes no new work holds no place in the order.
         detour += server->hasBarrier() ? 0 : DETOUR_STEP.count();
     }
@@ -243,7 +251,9 @@
         topology->services[server.entry.service].push_back(server.record);
     }
     for (const auto &[service, replicas] : topology->services) {
-        this->updateDetours(replicas);
+        if (const auto known = routes.services.find(service); known != routes.services.end()) {
+            this->updateUse(replicas, known->second.connections);
+        }
     }
     return topology;
 }
--- a/lib/Runtime/Worker.cpp
+++ b/lib/Runtime/Worker.cpp
@@ -12,10 +12,6 @@
 
 namespace ragwort {
 
-/// Where connections are fewer than instances, those to other replicas than the usual one are given back after this time without
-/// use, so that there is room for instances that start again while the servers still hold the connections of their former lives.
-static constexpr Duration SCARCE_IDLE_TIMEOUT = std::chrono::seconds(1);
-
 Worker::Worker(Options workerOptions)
     : options(std::move(workerOptions))
     , configuration(this->options.configuration)
@@ -226,8 +222,8 @@
     BackendClient::ConnectionLimits limits{.bound = 1};
     if (found != this->topology.get()->servers.end()) {
         limits.bound = found->second->warmShare.load(std::memory_order_relaxed);
-        if (found->second->scarceConnections.load(std::memory_order_relaxed) && found->second->detourUs.load(std::memory_order_relaxed) > 0) {
-            limits.idleTimeout = SCARCE_IDLE_TIMEOUT;
+        if (const std::int64_t idleLimit = found->second->idleLimitUs.load(std::memory_order_relaxed); idleLimit > 0) {
+            limits.idleTimeout = Duration(idleLimit);
         }
     }
     Worker &home = this->homeOf(request.serverId);
--- a/unittests/Control/ServerRegistryTest.cpp
+++ b/unittests/Control/ServerRegistryTest.cpp
@@ -190,6 +190,29 @@
     }
 }
 
+TEST(ServerRegistryOwnersTest, connectionsAreHeldAsLongAsTheirNumberAllows)
+{
+    const auto limits = [](int instances) {
+        ServerRegistry registry({.instance = "i0", .domain = "a"});
+        for (int other = 0; other < instances; ++other) {
+            registry.setInstance({.name = "i" + std::to_string(other), .domain = "a"});
+        }
+        RouteTable routes;
+        routes.services["s"] = {.connections = 69};
+        for (const char *domain : {"a", "b"}) {
+            registry.set({.id = domain, .service = "s", .address = "10.0.0.1:80", .domain = domain, .slots = 4}, Instant(seconds(1)));
+        }
+        const std::shared_ptr<const Topology> topology = registry.build(routes);
+        return std::pair(topology->servers.at("a")->idleLimitUs.load(), topology->servers.at("b")->idleLimitUs.load());
+    };
+    EXPECT_EQ(limits(7), std::pair(std::int64_t{0}, std::int64_t{0})) << "room for all, twice";
+    EXPECT_EQ(limits(74).first, 0) << "the usual replica's is kept";
+    EXPECT_GT(limits(74).second, 0);
+    // One in four finds room at a time.
+    EXPECT_GT(limits(300).first, 0);
+    EXPECT_LT(limits(300).first, limits(74).second);
+}
+
 /// After all machines have lost power, the servers still hold the connections of their former lives: all instances find
 /// room again only if they held less than half of a server's connections.
 TEST(ServerRegistryOwnersTest, whereConnectionsAreScarceEachInstanceKeepsToOneReplicaAndAllTogetherToHalfOfTheConnections)
