--- a/lib/Control/ServerRegistry.cpp
+++ b/lib/Control/ServerRegistry.cpp
@@ -19,11 +19,10 @@
 static constexpr int LIVES_HELD = 2;
 /// By how much a replica must be faster than the one before it in an instance's order: more than a new connection costs.
 static constexpr Duration DETOUR_STEP = std::chrono::milliseconds(6);
-/// Scarce connections to other replicas than the usual one are given back after this time without use, so that there is room for
-/// instances that start again while the servers still hold the connections of their former lives.
-static constexpr Duration OTHER_REPLICA_IDLE_LIMIT = std::chrono::seconds(1);
-/// Where not even half of the instances find room, they take turns: none holds a connection for longer than this without use.
-static constexpr Duration SHARED_IDLE_LIMIT = std::chrono::milliseconds(500);
+/// Scarce connections are given back after this time without use: those to other replicas than the usual one, so that there is room
+/// for instances that start again while the servers still hold the connections of their former lives; and all, where not even half
+/// of the instances find room and they have to take turns.
+static constexpr Duration SCARCE_IDLE_LIMIT = std::chrono::seconds(1);
 /// Room left for instances that start before the others have heard of them.
 static constexpr int JOINING_INSTANCES = 1;
 
@@ -233,8 +232,8 @@
     std::int64_t detour = 0;
     for (const ServerPointer &server : ordered) {
         server->detourUs.store(scarce ? detour : 0, std::memory_order_relaxed);
-        const Duration otherLimit = scarce && detour > 0 ? OTHER_REPLICA_IDLE_LIMIT : Duration::zero();
-        server->idleLimitUs.store((sharedInTime ? SHARED_IDLE_LIMIT : otherLimit).count(), std::memory_order_relaxed);
+        const bool givenBack = sharedInTime || (scarce && detour > 0);
+        server->idleLimitUs.store(givenBack ? SCARCE_IDLE_LIMIT.count() : 0, std::memory_order_relaxed);
         // A replica that takes no new work holds no place in the order.
         detour += server->hasBarrier() ? 0 : DETOUR_STEP.count();
     }
