Tasks left in the line of the peer links do not keep them alive

Cause: the posted tasks shared ownership of it. Change: they refer to it, as the thread that runs them ends before it does.

--- a/lib/Wire/PeerLinks.cpp
+++ b/lib/Wire/PeerLinks.cpp
@@ -84,6 +84,7 @@
         }
     }
 
+    /// A task that is still in the line when the thread has ended is dropped with this object; it must not keep it alive.
     void post(std::function<void()> task)
     {
         boost::asio::post(this->context, std::move(task));
@@ -305,12 +306,12 @@
 
 void PeerLinks::setWanted(const std::map<std::string, std::string> &wanted)
 {
-    this->core->post([core = this->core, wanted] { core->setWanted(wanted); });
+    this->core->post([owner = this->core.get(), wanted] { owner->setWanted(wanted); });
 }
 
 void PeerLinks::send(const std::string &peer, const std::string &bytes)
 {
-    this->core->post([core = this->core, peer, bytes] { core->send(peer, bytes); });
+    this->core->post([owner = this->core.get(), peer, bytes] { owner->send(peer, bytes); });
 }
 
 const PeerLinkCounts &PeerLinks::counts() const
