Observability: what an instance knows of the store, and lines that load suppresses

From logs and metrics one could not tell why an instance kept an old configuration: - routes-in-force and other lines on what an instance believes shared one limit of 400 lines a second with the lines of requests. Lines of requests now have a limit of their own. The new test in LogTest fails if both use logEvent(). - Nothing told how old an instance's knowledge was. Digests between instances now carry the time since the store confirmed the sender's revision (older versions send and read digests without it); the log line store-followed shows it, a new line changes-missing shows a peer that cannot supply changes, and four gauges show version, revision, distance and age.

No decision changes. Control, Support, Wire and Platform tests pass.

--- a/include/ragwortcart/Control/PeerMessages.h
+++ b/include/ragwortcart/Control/PeerMessages.h
@@ -78,6 +78,9 @@
 /// The distance of an instance that receives the store's changes neither from the store nor from a peer.
 inline constexpr int STORE_UNREACHABLE = -1;
 
+/// The age of a confirmation that an instance does not have or does not send.
+inline constexpr Duration AGE_UNKNOWN{-1};
+
 /// Sent periodically: the sender's distance from the platform's metadata store.
 struct PeerStoreDigest
 {
@@ -87,6 +90,8 @@
     int distance = STORE_UNREACHABLE;
     /// The sender subscribes to the receiver, which is to forward changes as they arrive.
     bool wantsEvents = false;
+    /// Time since the store is known to have held no change after `revision`. Negative if unknown.
+    Duration confirmedAge = AGE_UNKNOWN;
 };
 
 /// Changes of the metadata store, in order.
--- a/include/ragwortcart/Control/StoreChangeFeed.h
+++ b/include/ragwortcart/Control/StoreChangeFeed.h
@@ -43,7 +43,16 @@
     Duration removalGrace{};
 };
 
-using StoreFeedAction = std::variant<SendStoreMessage, ApplyRelayedEvents>;
+/// The source lacks changes that this instance has not received, so they have to come from elsewhere.
+struct ReportMissingChanges
+{
+    std::string peer;
+    /// The changes after `known` up to `after` are missing.
+    StoreRevision known = 0;
+    StoreRevision after = 0;
+};
+
+using StoreFeedAction = std::variant<SendStoreMessage, ApplyRelayedEvents, ReportMissingChanges>;
 
 class StoreChangeFeed
 {
@@ -101,6 +110,14 @@
     {
         return this->source;
     }
+    /// Returns the latest time at which the store is known to have held no change that this instance lacks, or nothing before the
+    /// first list.
+    std::optional<Instant> confirmedAt() const
+    {
+        return this->lastConfirmed;
+    }
+    /// Returns the number of hops to the store: 0 if this instance watches it, `STORE_UNREACHABLE` without the store and a source.
+    int distance() const;
     /// Returns true if this instance is among those of its failure domain that watch the store for the others.
     bool isRelay() const
     {
@@ -150,14 +167,14 @@
     /// Returns the relays of this failure domain with which this instance is to be linked.
     std::vector<std::string> ownRelays() const;
     void updateRole();
-    int distance() const;
     Preference preference(const std::string &name, const Peer &peer) const;
     bool isUsable(const Peer &peer, Instant now) const;
     void chooseSource(Instant now);
     void appendHistory(const StoreEvent &event);
     void pushTo(const std::string &name, Peer &peer, Duration removalGrace);
     void pushToAll(Duration removalGrace);
-    void sendDigest(const std::string &name);
+    void confirm(Instant when);
+    void sendDigest(const std::string &name, Instant now);
     void sendDigests(Instant now);
 
     const Options options;
@@ -176,6 +193,8 @@
     bool relay = false;
     /// All changes up to this revision are known; 0 before the first list.
     StoreRevision revision = 0;
+    /// At this time the store held no change after `revision`.
+    std::optional<Instant> lastConfirmed;
     /// Invariant: holds every change after `historyBegin` up to `revision`, in order.
     std::deque<HistoryEntry> history;
     StoreRevision historyBegin = 0;
--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -85,6 +85,16 @@
         StoreRevision revision = 0;
     };
 
+    /// What the metrics show of this instance's knowledge of the store. Written by the control thread, read by the operators' thread.
+    struct StoreGauges
+    {
+        std::atomic<std::uint64_t> routesVersion{0};
+        std::atomic<std::uint64_t> revision{0};
+        std::atomic<int> distance{STORE_UNREACHABLE};
+        /// Time on the monotonic clock, in microseconds; zero before the first confirmation.
+        std::atomic<std::int64_t> confirmedAtUs{0};
+    };
+
     /// Decoded items of a complete listing. They replace the previous state.
     struct ListedItems
     {
@@ -122,12 +132,15 @@
     void performChangeFeedActions();
     void perform(const SendStoreMessage &send);
     void perform(const ApplyRelayedEvents &relayed);
+    void perform(const ReportMissingChanges &missing);
     void updateDesiredPeers();
     /// Sends this instance's attempt counts to the relays. A relay also sends warnings about servers that perform badly to its domain.
     void sendAttemptCounts();
     void sendTo(const std::string &peer, const PeerMessage &message);
     /// Logs a change of the source of store events and resumes the store watch when no peer forwards all events.
     void updateWatchState();
+    void registerGauges();
+    void updateGauges();
 
     Options options;
     ServerRegistry registry;
@@ -157,6 +170,7 @@
     QTimer expiryTimer;
     QTimer changeFeedTimer;
     std::atomic<bool> isReady{false};
+    StoreGauges gauges;
     Counter &storeCalls;
     /// Declared last, so that its thread ends before the members that it calls are destroyed. Null without peer links.
     std::unique_ptr<PeerLinks> links;
--- a/include/ragwortcart/Support/Log.h
+++ b/include/ragwortcart/Support/Log.h
@@ -31,11 +31,20 @@
 /// applies to lines below level warning.
 void logEvent(LogLevel level, std::string_view event, std::span<const LogField> fields);
 
+/// Like `logEvent()`, for lines that concern a single request. Their number grows with the load, so they have a rate limit of
+/// their own and suppress no other lines.
+void logRequestEvent(LogLevel level, std::string_view event, std::span<const LogField> fields);
+
 inline void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     logEvent(level, event, std::span<const LogField>(fields.begin(), fields.size()));
 }
 
+inline void logRequestEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    logRequestEvent(level, event, std::span<const LogField>(fields.begin(), fields.size()));
+}
+
 /// Limits the number of log lines per second and counts the suppressed lines. Thread-safe.
 class LogRateLimiter
 {
--- a/lib/Control/StoreChangeFeed.cpp
+++ b/lib/Control/StoreChangeFeed.cpp
@@ -157,7 +157,7 @@
     this->source = best;
     for (const std::optional<std::string> &changed : {previous, best}) {
         if (changed && this->peers.contains(*changed)) {
-            this->sendDigest(*changed);
+            this->sendDigest(*changed, now);
         }
     }
 }
@@ -165,7 +165,7 @@
 void StoreChangeFeed::onLinkUp(const std::string &peer, Instant now)
 {
     this->peers[peer] = {.lastContact = now};
-    this->sendDigest(peer);
+    this->sendDigest(peer, now);
 }
 
 void StoreChangeFeed::onLinkDown(const std::string &peer, Instant now)
@@ -188,6 +188,9 @@
     Peer &state = found->second;
     state.lastContact = now;
     state.distance = digest.distance;
+    if (digest.confirmedAge >= Duration::zero() && digest.revision <= this->revision) {
+        this->confirm(now - digest.confirmedAge);
+    }
     if (digest.wantsEvents && !state.subscribed) {
         state.sentUpTo = digest.revision;
     }
@@ -209,6 +212,7 @@
     }
     found->second.lastContact = now;
     if (message.after > this->revision) {
+        this->actions.emplace_back(ReportMissingChanges{.peer = peer, .known = this->revision, .after = message.after});
         this->hasGap = true;
         this->chooseSource(now);
         return;
@@ -234,6 +238,7 @@
     this->historySize = 0;
     this->historyBegin = listRevision;
     this->revision = listRevision;
+    this->confirm(now);
     this->storeAvailable = true;
     this->hasGap = false;
     this->chooseSource(now);
@@ -251,6 +256,7 @@
         }
     }
     this->revision = std::max(this->revision, upTo);
+    this->confirm(now);
     this->chooseSource(now);
     this->pushToAll(removalGrace);
     if (!availableBefore) {
@@ -353,19 +359,26 @@
     }
 }
 
-void StoreChangeFeed::sendDigest(const std::string &name)
+void StoreChangeFeed::confirm(Instant when)
+{
+    this->lastConfirmed = std::max(this->lastConfirmed.value_or(when), when);
+}
+
+void StoreChangeFeed::sendDigest(const std::string &name, Instant now)
 {
     const bool isSource = this->source == name;
-    this->actions.emplace_back(SendStoreMessage{
-        .peer = name,
-        // The source must not use this instance as its own source.
-        .message = PeerStoreDigest{.revision = this->revision, .distance = isSource ? STORE_UNREACHABLE : this->distance(), .wantsEvents = isSource}});
+    this->actions.emplace_back(SendStoreMessage{.peer = name,
+                                                // The source must not use this instance as its own source.
+                                                .message = PeerStoreDigest{.revision = this->revision,
+                                                                           .distance = isSource ? STORE_UNREACHABLE : this->distance(),
+                                                                           .wantsEvents = isSource,
+                                                                           .confirmedAge = this->lastConfirmed ? now - *this->lastConfirmed : AGE_UNKNOWN}});
 }
 
 void StoreChangeFeed::sendDigests(Instant now)
 {
     for (const auto &[name, peer] : this->peers) {
-        this->sendDigest(name);
+        this->sendDigest(name, now);
     }
     this->nextDigests = now + STORE_DIGEST_INTERVAL;
 }
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -41,6 +41,7 @@
     , changeFeed({.instance = this->options.instance, .domain = this->options.domain})
     , storeCalls(this->options.metrics.counter("ragwort_store_calls_total"))
 {
+    this->registerGauges();
     this->expiryTimer.setSingleShot(true);
     connect(&this->expiryTimer, &QTimer::timeout, this, [this] {
         if (this->registry.dropExpired(steadyNow())) {
--- a/lib/Runtime/RouteControlPeers.cpp
+++ b/lib/Runtime/RouteControlPeers.cpp
@@ -113,6 +113,15 @@
     this->applyEvents(relayed.events, relayed.upTo);
 }
 
+void RouteControl::perform(const ReportMissingChanges &missing)
+{
+    logEvent(LogLevel::warning,
+             "changes-missing",
+             {{.key = "peer", .value = missing.peer},
+              {.key = "known", .value = std::to_string(missing.known)},
+              {.key = "after", .value = std::to_string(missing.after)}});
+}
+
 void RouteControl::updateDesiredPeers()
 {
     if (this->links) {
@@ -127,12 +136,37 @@
         this->loggedSource = source;
         logEvent(LogLevel::info,
                  "store-followed",
-                 {{.key = "through", .value = source.empty() ? "itself" : source}, {.key = "revision", .value = std::to_string(this->revision)}});
+                 {{.key = "through", .value = source.empty() ? "itself" : source},
+                  {.key = "revision", .value = std::to_string(this->revision)},
+                  {.key = "confirmed_ms_ago", .value = std::to_string(toMs(steadyNow() - this->changeFeed.confirmedAt().value_or(steadyNow())))}});
     }
+    this->updateGauges();
     if (this->watchSuspended && !this->changeFeed.followsPeer()) {
         this->watchSuspended = false;
         this->watch();
     }
 }
 
+void RouteControl::registerGauges()
+{
+    MetricsRegistry &metrics = this->options.metrics;
+    metrics.gauge("ragwort_routes_version", {}, [this] { return static_cast<double>(this->gauges.routesVersion.load()); });
+    metrics.gauge("ragwort_store_revision", {}, [this] { return static_cast<double>(this->gauges.revision.load()); });
+    metrics.gauge("ragwort_store_distance", {}, [this] { return static_cast<double>(this->gauges.distance.load()); });
+    metrics.gauge("ragwort_store_confirmed_age_seconds", {}, [this] {
+        const std::int64_t confirmedAtUs = this->gauges.confirmedAtUs.load();
+        return confirmedAtUs == 0 ? -1.0 : static_cast<double>(steadyNow().time_since_epoch().count() - confirmedAtUs) / 1e6;
+    });
+}
+
+void RouteControl::updateGauges()
+{
+    this->gauges.routesVersion.store(this->routes ? this->routes->version : 0);
+    this->gauges.revision.store(this->revision);
+    this->gauges.distance.store(this->changeFeed.distance());
+    if (const std::optional<Instant> confirmedAt = this->changeFeed.confirmedAt()) {
+        this->gauges.confirmedAtUs.store(confirmedAt->time_since_epoch().count());
+    }
+}
+
 } // namespace ragwort
--- a/lib/Runtime/Worker.cpp
+++ b/lib/Runtime/Worker.cpp
@@ -285,21 +285,21 @@
     if (carriesExplanation && answer.state == RunState::ran) {
         return;
     }
-    logEvent(LogLevel::info,
-             "answer",
-             {{.key = "request", .value = query.requestId},
-              {.key = "team", .value = query.team},
-              {.key = "kind", .value = query.kind},
-              {.key = "status", .value = std::to_string(status)},
-              {.key = "reason", .value = answer.reason},
-              {.key = "run", .value = std::string(toString(answer.state))},
-              {.key = "elapsed_us", .value = std::to_string(elapsed.count())},
-              {.key = "shards", .value = std::to_string(answer.shardsAnswered) + '/' + std::to_string(answer.shardsAsked)},
-              {.key = "routes", .value = std::to_string(answer.routesVersion)},
-              {.key = "attempts", .value = std::to_string(answer.attempts)},
-              {.key = "hedges", .value = std::to_string(answer.hedges)},
-              {.key = "retries", .value = std::to_string(answer.retries)},
-              {.key = "retry_after_ms", .value = std::to_string(toMs(answer.retryAfter))}});
+    logRequestEvent(LogLevel::info,
+                    "answer",
+                    {{.key = "request", .value = query.requestId},
+                     {.key = "team", .value = query.team},
+                     {.key = "kind", .value = query.kind},
+                     {.key = "status", .value = std::to_string(status)},
+                     {.key = "reason", .value = answer.reason},
+                     {.key = "run", .value = std::string(toString(answer.state))},
+                     {.key = "elapsed_us", .value = std::to_string(elapsed.count())},
+                     {.key = "shards", .value = std::to_string(answer.shardsAnswered) + '/' + std::to_string(answer.shardsAsked)},
+                     {.key = "routes", .value = std::to_string(answer.routesVersion)},
+                     {.key = "attempts", .value = std::to_string(answer.attempts)},
+                     {.key = "hedges", .value = std::to_string(answer.hedges)},
+                     {.key = "retries", .value = std::to_string(answer.retries)},
+                     {.key = "retry_after_ms", .value = std::to_string(toMs(answer.retryAfter))}});
 }
 
 static bool isLoggedAtInfo(Reason reason)
@@ -338,13 +338,13 @@
     counter->add();
     const LogLevel level = isLoggedAtInfo(decision.reason) ? LogLevel::info : LogLevel::debug;
     const auto found = this->queriesById.find(decision.query);
-    logEvent(level,
-             "decision",
-             {{.key = "request", .value = found == this->queriesById.end() ? "-" : found->second.requestId},
-              {.key = "reason", .value = std::string(toString(decision.reason))},
-              {.key = "query", .value = std::to_string(decision.query)},
-              {.key = "server", .value = decision.server.empty() ? "-" : decision.server},
-              {.key = "detail", .value = decision.detail}});
+    logRequestEvent(level,
+                    "decision",
+                    {{.key = "request", .value = found == this->queriesById.end() ? "-" : found->second.requestId},
+                     {.key = "reason", .value = std::string(toString(decision.reason))},
+                     {.key = "query", .value = std::to_string(decision.query)},
+                     {.key = "server", .value = decision.server.empty() ? "-" : decision.server},
+                     {.key = "detail", .value = decision.detail}});
 }
 
 } // namespace ragwort
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -15,8 +15,9 @@
 
 namespace ragwort {
 
-/// Limit for lines below level warning, per process.
-static constexpr int MAXIMUM_LINES_PER_SECOND = 400;
+/// Limits for lines below level warning, per process.
+static constexpr int MAXIMUM_REQUEST_LINES_PER_SECOND = 400;
+static constexpr int MAXIMUM_OTHER_LINES_PER_SECOND = 400;
 /// Capacity of the queue to the appender. Further lines are dropped, so that a slow reader of the log blocks no thread.
 static constexpr int QUEUE_CAPACITY_LINES = 1024;
 
@@ -114,10 +115,9 @@
     return true;
 }
 
-/// Returns false if the rate limit suppresses the line. Reports the lines suppressed in earlier seconds, if there are any.
-static bool admitLine(const log4cxx::LoggerPtr &logger, LogLevel level)
+/// Returns false if \p limiter suppresses the line. Reports the lines suppressed in earlier seconds, if there are any.
+static bool admitLine(const log4cxx::LoggerPtr &logger, LogLevel level, LogRateLimiter &limiter)
 {
-    static LogRateLimiter limiter(MAXIMUM_LINES_PER_SECOND);
     if (level == LogLevel::warning || level == LogLevel::error) {
         return true;
     }
@@ -131,11 +131,11 @@
     return admitted;
 }
 
-void logEvent(LogLevel level, std::string_view event, std::span<const LogField> fields)
+static void writeLine(LogLevel level, std::string_view event, std::span<const LogField> fields, LogRateLimiter &limiter)
 {
     const log4cxx::LoggerPtr logger = rootLogger();
     const log4cxx::LevelPtr target = toLog4cxx(level);
-    if (!logger->isEnabledFor(target) || !admitLine(logger, level)) {
+    if (!logger->isEnabledFor(target) || !admitLine(logger, level, limiter)) {
         return;
     }
     std::string line = "event=" + std::string(event);
@@ -145,4 +145,16 @@
     logger->forcedLog(target, line, log4cxx::spi::LocationInfo::getLocationUnavailable());
 }
 
+void logEvent(LogLevel level, std::string_view event, std::span<const LogField> fields)
+{
+    static LogRateLimiter limiter(MAXIMUM_OTHER_LINES_PER_SECOND);
+    writeLine(level, event, fields, limiter);
+}
+
+void logRequestEvent(LogLevel level, std::string_view event, std::span<const LogField> fields)
+{
+    static LogRateLimiter limiter(MAXIMUM_REQUEST_LINES_PER_SECOND);
+    writeLine(level, event, fields, limiter);
+}
+
 } // namespace ragwort
--- a/lib/Wire/PeerCodec.cpp
+++ b/lib/Wire/PeerCodec.cpp
@@ -138,6 +138,7 @@
     array.append(number(digest.revision));
     array.append(digest.distance);
     array.append(digest.wantsEvents);
+    array.append(static_cast<qint64>(digest.confirmedAge.count()));
     return array;
 }
 
@@ -314,8 +315,11 @@
                                       .level = static_cast<int>(array.at(3).toInteger()),
                                       .cold = array.at(4).toBool()});
     case PeerType::storeDigest:
-        return PeerMessage(PeerStoreDigest{
-            .revision = numberOf(array.at(1)), .distance = static_cast<int>(array.at(2).toInteger(STORE_UNREACHABLE)), .wantsEvents = array.at(3).toBool()});
+        // Earlier versions send no age.
+        return PeerMessage(PeerStoreDigest{.revision = numberOf(array.at(1)),
+                                           .distance = static_cast<int>(array.at(2).toInteger(STORE_UNREACHABLE)),
+                                           .wantsEvents = array.at(3).toBool(),
+                                           .confirmedAge = Duration(array.at(4).toInteger(AGE_UNKNOWN.count()))});
     case PeerType::storeEvents:
         // A truncated message must not be mistaken for one without events, which states that no key has changed.
         if (array.size() != STORE_EVENTS_FIELDS || !array.at(4).isArray()) {
--- a/unittests/Control/StoreChangeFeedTest.cpp
+++ b/unittests/Control/StoreChangeFeedTest.cpp
@@ -145,7 +145,8 @@
                                    this->apply(harness, std::get<StoreItem>(event));
                                }
                                harness.revision = std::max(harness.revision, relayed.upTo);
-                           }},
+                           },
+                           [](const ReportMissingChanges &) {}},
                    action);
     }
 
@@ -366,6 +367,23 @@
     this->expectAllApplied("k1");
 }
 
+TEST_F(StoreChangeFeedTest, reportsHowLongAgoTheStoreConfirmedItsKnowledge)
+{
+    this->addDomain("a", 4);
+    this->run(milliseconds(2000));
+    for (const auto &[name, harness] : this->harnesses) {
+        ASSERT_TRUE(harness.feed->confirmedAt()) << name;
+        EXPECT_LE(this->now - *harness.feed->confirmedAt(), STORE_DIGEST_INTERVAL + STEP) << name;
+    }
+    for (auto &[name, harness] : this->harnesses) {
+        harness.storeUnavailable = true;
+    }
+    this->run(milliseconds(3000));
+    for (const auto &[name, harness] : this->harnesses) {
+        EXPECT_GE(this->now - *harness.feed->confirmedAt(), milliseconds(3000)) << name;
+    }
+}
+
 TEST_F(StoreChangeFeedTest, replacesALeavingRelayImmediately)
 {
     this->addDomain("a", 4);
--- a/unittests/Support/LogTest.cpp
+++ b/unittests/Support/LogTest.cpp
@@ -1,6 +1,7 @@
 #include "ragwortcart/Support/Log.h"
 
 #include <gtest/gtest.h>
+#include <string>
 
 namespace ragwort {
 
@@ -38,4 +39,21 @@
     EXPECT_EQ(suppressed, 0U);
 }
 
+/// Guards against the incident of a confirmed configuration that was late: under load the lines that record what an instance
+/// believes were suppressed beside those of requests.
+TEST(LogTest, linesOfRequestsDoNotSuppressOtherLines)
+{
+    static constexpr int REQUEST_LINES = 1000;
+    testing::internal::CaptureStderr();
+    initializeLog("LogTest", "entry-0", LogLevel::info);
+    for (int line = 0; line < REQUEST_LINES; ++line) {
+        logRequestEvent(LogLevel::info, "answer", {{.key = "request", .value = std::to_string(line)}});
+    }
+    logEvent(LogLevel::info, "routes-in-force", {{.key = "version", .value = "7"}});
+    // Closes the appender, which writes the lines that are still queued.
+    initializeLog("LogTest", "entry-0", LogLevel::info);
+    const std::string output = testing::internal::GetCapturedStderr();
+    EXPECT_NE(output.find("event=routes-in-force version=7"), std::string::npos);
+}
+
 } // namespace ragwort
--- a/unittests/Wire/PeerCodecTest.cpp
+++ b/unittests/Wire/PeerCodecTest.cpp
@@ -57,11 +57,22 @@
     EXPECT_EQ(std::get<StoreItem>(read.events[0]).value, QByteArray("a\0b", 3));
     EXPECT_EQ(std::get<StoreDeletion>(read.events[1]).key, "k2");
 
-    const Result<PeerMessage> digest = decodePeerMessage(encodePeerMessage(PeerStoreDigest{.revision = 12, .distance = 1, .wantsEvents = true}), "peer");
+    const Result<PeerMessage> digest
+        = decodePeerMessage(encodePeerMessage(PeerStoreDigest{.revision = 12, .distance = 1, .wantsEvents = true, .confirmedAge = Duration(700)}), "peer");
     ASSERT_TRUE(digest);
     EXPECT_EQ(std::get<PeerStoreDigest>(*digest).revision, 12U);
     EXPECT_EQ(std::get<PeerStoreDigest>(*digest).distance, 1);
     EXPECT_TRUE(std::get<PeerStoreDigest>(*digest).wantsEvents);
+    EXPECT_EQ(std::get<PeerStoreDigest>(*digest).confirmedAge, Duration(700));
+}
+
+TEST(PeerCodecTest, readsStoreDigestWithoutAge)
+{
+    // [8, 12, 0, true], as sent by versions that know no age.
+    const Result<PeerMessage> digest = decodePeerMessage(std::string("\x84\x08\x0c\x00\xf5", 5), "peer");
+    ASSERT_TRUE(digest);
+    EXPECT_EQ(std::get<PeerStoreDigest>(*digest).revision, 12U);
+    EXPECT_EQ(std::get<PeerStoreDigest>(*digest).confirmedAge, AGE_UNKNOWN);
 }
 
 TEST(PeerCodecTest, rejectsStoreEventsWithoutChanges)
