Control: a list of the store does not replace later changes

An instance whose watch ended with lost history lists the store; meanwhile it may take up a relay again, which pushes changes. If the list answers after them, it put back what they had changed (a server that drains, a domain that was taken out; routes were safe, as their version never falls), and lowered the revision that the instance tells its relay, until the next change showed the gap.

Cause: the list was applied without looking at the revision that was known by then. Now the feed refuses a list that is older than what it knows, and the control thread ignores it (event=store-list-outdated).

The new test fails with the check taken out. Control and Platform tests pass.

--- a/include/ragwortcart/Control/StoreChangeFeed.h
+++ b/include/ragwortcart/Control/StoreChangeFeed.h
@@ -89,8 +89,9 @@
     void onDigest(const std::string &peer, const PeerStoreDigest &digest, Instant now);
     void onEvents(const std::string &peer, const PeerStoreEvents &message, Instant now);
 
-    /// The store has been listed; all changes up to \p listRevision are known.
-    void onListed(StoreRevision listRevision, Instant now);
+    /// The store has been listed; all changes up to \p listRevision are known. Returns false if later changes have arrived from a peer
+    /// meanwhile; the caller must then ignore the list.
+    [[nodiscard]] bool onListed(StoreRevision listRevision, Instant now);
     /// The store has answered a watch with the changes after the last known revision.
     void onStoreEvents(std::span<const StoreEvent> events, StoreRevision upTo, Duration removalGrace, Instant now);
     /// This instance no longer watches the store, or the store failed to reply.
--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -105,7 +105,9 @@
     // Watching the store (RouteControl.cpp).
     void listStore();
     void listPage(const std::shared_ptr<Listing> &listing, const std::string &afterKey);
+    /// Replaces the previous state by a listing, unless later changes are known.
     void applyListing(const Listing &listing);
+    void replaceState(const Listing &listing);
     void watch();
     void onEvents(const Result<StoreEvents> &result);
     /// Applies the events that are newer than `revision` and publishes the resulting topology.
--- a/lib/Control/StoreChangeFeed.cpp
+++ b/lib/Control/StoreChangeFeed.cpp
@@ -231,19 +231,23 @@
     }
 }
 
-void StoreChangeFeed::onListed(StoreRevision listRevision, Instant now)
+bool StoreChangeFeed::onListed(StoreRevision listRevision, Instant now)
 {
+    this->storeAvailable = true;
+    if (listRevision < this->revision) {
+        return false;
+    }
     // The history lacks the changes between the previous revision and the list.
     this->history.clear();
     this->historySize = 0;
     this->historyBegin = listRevision;
     this->revision = listRevision;
     this->confirm(now);
-    this->storeAvailable = true;
     this->hasGap = false;
     this->chooseSource(now);
     this->pushToAll(Duration::zero());
     this->sendDigests(now);
+    return true;
 }
 
 void StoreChangeFeed::onStoreEvents(std::span<const StoreEvent> events, StoreRevision upTo, Duration removalGrace, Instant now)
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -99,6 +99,18 @@
 }
 
 void RouteControl::applyListing(const Listing &listing)
+{
+    if (!this->changeFeed.onListed(listing.revision, steadyNow())) {
+        logEvent(LogLevel::info,
+                 "store-list-outdated",
+                 {{.key = "revision", .value = std::to_string(listing.revision)}, {.key = "known", .value = std::to_string(this->revision)}});
+        return;
+    }
+    this->replaceState(listing);
+    this->performChangeFeedActions();
+}
+
+void RouteControl::replaceState(const Listing &listing)
 {
     const std::set<std::string> previouslyOutOfService = std::exchange(this->domainsOutOfService, {});
     ListedItems listed;
@@ -122,8 +134,6 @@
     this->rebuild();
     this->scheduleExpiry();
     this->updateDesiredPeers();
-    this->changeFeed.onListed(listing.revision, steadyNow());
-    this->performChangeFeedActions();
 }
 
 void RouteControl::watch()
--- a/unittests/Control/StoreChangeFeedTest.cpp
+++ b/unittests/Control/StoreChangeFeedTest.cpp
@@ -66,7 +66,7 @@
             harness.applied.push_back(item.key);
         }
         harness.revision = this->storeRevision();
-        harness.feed->onListed(harness.revision, this->now);
+        EXPECT_TRUE(harness.feed->onListed(harness.revision, this->now));
     }
 
     StoreRevision storeRevision() const
@@ -384,6 +384,22 @@
     }
 }
 
+/// Guards against a list that replaces later changes: servers that had left or drained came back until the next change.
+TEST_F(StoreChangeFeedTest, aListOlderThanTheRelayedChangesIsIgnored)
+{
+    this->addDomain("a", 4);
+    this->run(milliseconds(1000));
+    const auto follower = std::find_if(this->harnesses.begin(), this->harnesses.end(), [](const auto &entry) { return !entry.second.feed->isRelay(); });
+    const StoreRevision listed = this->storeRevision();
+    this->write("k1");
+    this->run(milliseconds(200));
+    EXPECT_FALSE(follower->second.feed->onListed(listed, this->now));
+    this->write("k2");
+    this->run(milliseconds(200));
+    this->expectAllApplied("k1");
+    this->expectAllApplied("k2");
+}
+
 TEST_F(StoreChangeFeedTest, replacesALeavingRelayImmediately)
 {
     this->addDomain("a", 4);
