Control: an instance that the store refuses gets all items from a peer

Cause: such an instance depends on its peers, and a peer can supply only the changes in its history. A peer that started, or listed the store, after the instance's last known revision lacks those between; one that is no relay keeps only the last change. docs/design/ store-sharing.md named this as a limit ("stays with what it knows until the store answers it").

The former test of this case asserted that the instance applies nothing while the store refuses it.

Change: each instance keeps the store's items at its revision, and offers them in its digests. An instance that lacks changes and that the store fails to answer asks the peer that it prefers, which sends all items at its revision; they replace the state as a list of the store does.

The former assertion that nothing is applied is replaced: never a part of the history, and everything within a second. Control, Wire and Platform tests pass.

--- a/include/ragwortcart/Control/PeerExchange.h
+++ b/include/ragwortcart/Control/PeerExchange.h
@@ -125,6 +125,9 @@
     void handle(const std::string &, const PeerStoreEvents &, Instant)
     {
     }
+    void handle(const std::string &, const PeerStoreSnapshot &, Instant)
+    {
+    }
     void handle(const std::string &, const PeerAttemptCounts &, Instant)
     {
     }
--- a/include/ragwortcart/Control/PeerMessages.h
+++ b/include/ragwortcart/Control/PeerMessages.h
@@ -92,6 +92,18 @@
     bool wantsEvents = false;
     /// Time since the store is known to have held no change after `revision`. Negative if unknown.
     Duration confirmedAge = AGE_UNKNOWN;
+    /// The sender can send a `PeerStoreSnapshot`.
+    bool offersSnapshot = false;
+    /// The sender lacks changes that it cannot read from the store, and asks the receiver for a `PeerStoreSnapshot`.
+    bool wantsSnapshot = false;
+};
+
+/// All items of the metadata store. Sent to an instance that lacks changes which no history contains any more.
+struct PeerStoreSnapshot
+{
+    /// Invariant: `items` are the contents of the store at this revision.
+    StoreRevision revision = 0;
+    std::vector<StoreItem> items;
 };
 
 /// Changes of the metadata store, in order.
@@ -143,6 +155,7 @@
                                  PeerWarmUp,
                                  PeerStoreDigest,
                                  PeerStoreEvents,
+                                 PeerStoreSnapshot,
                                  PeerAttemptCounts,
                                  PeerServerWarnings>;
 
--- a/include/ragwortcart/Control/StoreChangeFeed.h
+++ b/include/ragwortcart/Control/StoreChangeFeed.h
@@ -3,14 +3,16 @@
 ///
 /// In each failure domain a few instances, the relays, watch the store and push its changes to the others. An instance
 /// without a source among its peers watches the store itself. A relay to which the store is unavailable receives
-/// changes from relays of other domains. Performs no I/O: inputs are timestamped link events, messages and store
-/// replies; outputs are actions.
+/// changes from relays of other domains. An instance to which the store is unavailable and that lacks changes which its
+/// peers no longer hold gets all items from a peer. Performs no I/O: inputs are timestamped link events, messages and
+/// store replies; outputs are actions.
 #ifndef RAGWORTCART_CONTROL_STORECHANGEFEED_H
 #define RAGWORTCART_CONTROL_STORECHANGEFEED_H
 
 #include "ragwortcart/Control/MetadataStore.h"
 #include "ragwortcart/Control/PeerMessages.h"
 #include "ragwortcart/Control/PlatformItems.h"
+#include "ragwortcart/Control/StoreContents.h"
 
 #include <deque>
 #include <map>
@@ -29,7 +31,7 @@
 struct SendStoreMessage
 {
     std::string peer;
-    std::variant<PeerStoreDigest, PeerStoreEvents> message;
+    std::variant<PeerStoreDigest, PeerStoreEvents, PeerStoreSnapshot> message;
 };
 
 /// Changes forwarded by a peer, in order, none of them known before.
@@ -43,6 +45,14 @@
     Duration removalGrace{};
 };
 
+/// All items of the store, received from a peer. They replace the previous state.
+struct ApplyRelayedSnapshot
+{
+    std::string peer;
+    StoreRevision revision = 0;
+    std::vector<StoreItem> items;
+};
+
 /// The source lacks changes that this instance has not received, so they have to come from elsewhere.
 struct ReportMissingChanges
 {
@@ -52,7 +62,7 @@
     StoreRevision after = 0;
 };
 
-using StoreFeedAction = std::variant<SendStoreMessage, ApplyRelayedEvents, ReportMissingChanges>;
+using StoreFeedAction = std::variant<SendStoreMessage, ApplyRelayedEvents, ApplyRelayedSnapshot, ReportMissingChanges>;
 
 class StoreChangeFeed
 {
@@ -72,6 +82,8 @@
         /// Size of the history kept for peers that have fallen behind; 256 KiB holds a few configurations and some
         /// hundred servers.
         std::size_t historyBytes = 256 * 1024;
+        /// A peer that asks again for a snapshot gets the next one after this time.
+        Duration snapshotInterval = std::chrono::seconds(2);
     };
 
     explicit StoreChangeFeed(Options feedOptions);
@@ -88,14 +100,17 @@
     void onLinkDown(const std::string &peer, Instant now);
     void onDigest(const std::string &peer, const PeerStoreDigest &digest, Instant now);
     void onEvents(const std::string &peer, const PeerStoreEvents &message, Instant now);
+    void onSnapshot(const std::string &peer, const PeerStoreSnapshot &snapshot, Instant now);
 
     /// The store has been listed; all changes up to \p listRevision are known. Returns false if later changes have arrived from a peer
     /// meanwhile; the caller must then ignore the list.
-    [[nodiscard]] bool onListed(StoreRevision listRevision, Instant now);
+    [[nodiscard]] bool onListed(std::span<const StoreItem> items, StoreRevision listRevision, Instant now);
     /// The store has answered a watch with the changes after the last known revision.
     void onStoreEvents(std::span<const StoreEvent> events, StoreRevision upTo, Duration removalGrace, Instant now);
-    /// This instance no longer watches the store, or the store failed to reply.
+    /// The store failed to reply.
     void onStoreUnavailable(Instant now);
+    /// This instance no longer watches the store, because a peer forwards all changes.
+    void onWatchSuspended(Instant now);
     /// Stops relaying before the instance shuts down.
     void leave(Instant now);
 
@@ -143,6 +158,9 @@
         /// Invariant: while set, the peer has been sent all changes up to `sentUpTo`, or a message that shows the gap.
         bool subscribed = false;
         StoreRevision sentUpTo = 0;
+        bool offersSnapshot = false;
+        /// When the peer was last sent a snapshot.
+        std::optional<Instant> snapshotSentAt;
     };
     /// The peer with the lowest value is the preferred source: nearest to the store first, then in an order that
     /// differs between instances.
@@ -170,10 +188,17 @@
     void updateRole();
     Preference preference(const std::string &name, const Peer &peer) const;
     bool isUsable(const Peer &peer, Instant now) const;
+    /// Returns the usable peer that ranks first, or nothing. With \p withSnapshot only peers that offer a snapshot count.
+    std::optional<std::string> preferredPeer(bool withSnapshot, Instant now) const;
     void chooseSource(Instant now);
+    void chooseSnapshotSource(Instant now);
     void appendHistory(const StoreEvent &event);
     void pushTo(const std::string &name, Peer &peer, Duration removalGrace);
     void pushToAll(Duration removalGrace);
+    /// Sends all items to a peer that asked for them, unless it was sent them a short time ago.
+    void sendSnapshot(const std::string &name, Peer &peer, Instant now);
+    /// Makes \p base the beginning of an empty history.
+    void restartHistory(StoreRevision base);
     void confirm(Instant when);
     void sendDigest(const std::string &name, Instant now);
     void sendDigests(Instant now);
@@ -184,10 +209,14 @@
     std::map<std::string, Peer> peers;
     /// The peer whose events are applied locally. Invariant: linked, and nearer to the store than this instance.
     std::optional<std::string> source;
+    /// The peer that is asked for all items. Only set while `hasGap` and `storeFailed` are.
+    std::optional<std::string> snapshotSource;
+    /// The store failed to reply to this instance's last call.
+    bool storeFailed = false;
     /// The store's last reply to this instance was successful, and the instance continues to watch it.
     bool storeAvailable = false;
     /// Changes are missing between the local revision and the history that peers retain. Peers are not used as sources
-    /// until the store has supplied them.
+    /// until the store or a snapshot has supplied them.
     bool hasGap = false;
     bool leaving = false;
     /// Among the instances of its domain that watch the store for the others.
@@ -200,6 +229,8 @@
     std::deque<HistoryEntry> history;
     StoreRevision historyBegin = 0;
     std::size_t historySize = 0;
+    /// Invariant: after the first list, the items of the store at `revision`.
+    StoreContents contents;
     Instant nextDigests{};
     std::vector<StoreFeedAction> actions;
 };
--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -107,7 +107,7 @@
     void listPage(const std::shared_ptr<Listing> &listing, const std::string &afterKey);
     /// Replaces the previous state by a listing, unless later changes are known.
     void applyListing(const Listing &listing);
-    void replaceState(const Listing &listing);
+    void replaceState(std::span<const StoreItem> items, StoreRevision itemsRevision);
     void watch();
     void onEvents(const Result<StoreEvents> &result);
     /// Applies the events that are newer than `revision` and publishes the resulting topology.
@@ -134,6 +134,7 @@
     void performChangeFeedActions();
     void perform(const SendStoreMessage &send);
     void perform(const ApplyRelayedEvents &relayed);
+    void perform(const ApplyRelayedSnapshot &snapshot);
     void perform(const ReportMissingChanges &missing);
     void updateDesiredPeers();
     /// Sends this instance's attempt counts to the relays. A relay also sends warnings about servers that perform badly to its domain.
--- a/lib/Control/StoreChangeFeed.cpp
+++ b/lib/Control/StoreChangeFeed.cpp
@@ -136,21 +136,26 @@
     return {.distance = peer.distance, .order = stableHash(name, stableHash(this->options.instance))};
 }
 
-void StoreChangeFeed::chooseSource(Instant now)
+std::optional<std::string> StoreChangeFeed::preferredPeer(bool withSnapshot, Instant now) const
 {
-    const std::optional<std::string> previous = this->source;
     std::optional<std::string> best;
-    const bool needsSource = this->revision > 0 && !this->hasGap && !this->leaving && !(this->relay && this->storeAvailable);
-    if (needsSource) {
-        for (const auto &[name, peer] : this->peers) {
-            if (!this->isUsable(peer, now)) {
-                continue;
-            }
-            if (!best || this->preference(name, peer) < this->preference(*best, this->peers.at(*best))) {
-                best = name;
-            }
+    for (const auto &[name, peer] : this->peers) {
+        if (!this->isUsable(peer, now) || (withSnapshot && !peer.offersSnapshot)) {
+            continue;
+        }
+        if (!best || this->preference(name, peer) < this->preference(*best, this->peers.at(*best))) {
+            best = name;
         }
     }
+    return best;
+}
+
+void StoreChangeFeed::chooseSource(Instant now)
+{
+    this->chooseSnapshotSource(now);
+    const std::optional<std::string> previous = this->source;
+    const bool needsSource = this->revision > 0 && !this->hasGap && !this->leaving && !(this->relay && this->storeAvailable);
+    const std::optional<std::string> best = needsSource ? this->preferredPeer(false, now) : std::nullopt;
     if (best == previous) {
         return;
     }
@@ -162,6 +167,16 @@
     }
 }
 
+void StoreChangeFeed::chooseSnapshotSource(Instant now)
+{
+    const std::optional<std::string> previous = this->snapshotSource;
+    const bool needsSnapshot = this->hasGap && this->storeFailed && !this->leaving;
+    this->snapshotSource = needsSnapshot ? this->preferredPeer(true, now) : std::nullopt;
+    if (this->snapshotSource && this->snapshotSource != previous) {
+        this->sendDigest(*this->snapshotSource, now);
+    }
+}
+
 void StoreChangeFeed::onLinkUp(const std::string &peer, Instant now)
 {
     this->peers[peer] = {.lastContact = now};
@@ -188,6 +203,7 @@
     Peer &state = found->second;
     state.lastContact = now;
     state.distance = digest.distance;
+    state.offersSnapshot = digest.offersSnapshot;
     if (digest.confirmedAge >= Duration::zero() && digest.revision <= this->revision) {
         this->confirm(now - digest.confirmedAge);
     }
@@ -199,6 +215,9 @@
     if (state.subscribed) {
         this->pushTo(peer, state, Duration::zero());
     }
+    if (digest.wantsSnapshot) {
+        this->sendSnapshot(peer, state, now);
+    }
     if (this->distance() != previousDistance) {
         this->sendDigests(now);
     }
@@ -231,17 +250,29 @@
     }
 }
 
-bool StoreChangeFeed::onListed(StoreRevision listRevision, Instant now)
+void StoreChangeFeed::onSnapshot(const std::string &peer, const PeerStoreSnapshot &snapshot, Instant now)
+{
+    if (!this->peers.contains(peer) || !this->hasGap || snapshot.revision < this->revision) {
+        return;
+    }
+    this->restartHistory(snapshot.revision);
+    this->contents.replace(snapshot.items);
+    this->hasGap = false;
+    this->actions.emplace_back(ApplyRelayedSnapshot{.peer = peer, .revision = snapshot.revision, .items = snapshot.items});
+    this->chooseSource(now);
+    this->pushToAll(Duration::zero());
+    this->sendDigests(now);
+}
+
+bool StoreChangeFeed::onListed(std::span<const StoreItem> items, StoreRevision listRevision, Instant now)
 {
     this->storeAvailable = true;
+    this->storeFailed = false;
     if (listRevision < this->revision) {
         return false;
     }
-    // The history lacks the changes between the previous revision and the list.
-    this->history.clear();
-    this->historySize = 0;
-    this->historyBegin = listRevision;
-    this->revision = listRevision;
+    this->restartHistory(listRevision);
+    this->contents.replace(items);
     this->confirm(now);
     this->hasGap = false;
     this->chooseSource(now);
@@ -253,6 +284,7 @@
 void StoreChangeFeed::onStoreEvents(std::span<const StoreEvent> events, StoreRevision upTo, Duration removalGrace, Instant now)
 {
     const bool availableBefore = std::exchange(this->storeAvailable, true);
+    this->storeFailed = false;
     this->hasGap = false;
     for (const StoreEvent &event : events) {
         if (revisionOf(event) > this->revision) {
@@ -269,6 +301,16 @@
 }
 
 void StoreChangeFeed::onStoreUnavailable(Instant now)
+{
+    const bool availableBefore = std::exchange(this->storeAvailable, false);
+    const bool failedBefore = std::exchange(this->storeFailed, true);
+    if (availableBefore || !failedBefore) {
+        this->chooseSource(now);
+        this->sendDigests(now);
+    }
+}
+
+void StoreChangeFeed::onWatchSuspended(Instant now)
 {
     if (std::exchange(this->storeAvailable, false)) {
         this->chooseSource(now);
@@ -324,6 +366,7 @@
 
 void StoreChangeFeed::appendHistory(const StoreEvent &event)
 {
+    this->contents.apply(event);
     const std::size_t bytes = bytesOf(event);
     this->history.push_back({.event = event, .revision = revisionOf(event), .bytes = bytes});
     this->historySize += bytes;
@@ -363,6 +406,24 @@
     }
 }
 
+void StoreChangeFeed::sendSnapshot(const std::string &name, Peer &peer, Instant now)
+{
+    const bool sentRecently = peer.snapshotSentAt && now - *peer.snapshotSentAt < this->options.snapshotInterval;
+    if (sentRecently || this->hasGap || this->revision == 0) {
+        return;
+    }
+    peer.snapshotSentAt = now;
+    this->actions.emplace_back(SendStoreMessage{.peer = name, .message = PeerStoreSnapshot{.revision = this->revision, .items = this->contents.items()}});
+}
+
+void StoreChangeFeed::restartHistory(StoreRevision base)
+{
+    this->history.clear();
+    this->historySize = 0;
+    this->historyBegin = base;
+    this->revision = base;
+}
+
 void StoreChangeFeed::confirm(Instant when)
 {
     this->lastConfirmed = std::max(this->lastConfirmed.value_or(when), when);
@@ -376,7 +437,9 @@
                                                 .message = PeerStoreDigest{.revision = this->revision,
                                                                            .distance = isSource ? STORE_UNREACHABLE : this->distance(),
                                                                            .wantsEvents = isSource,
-                                                                           .confirmedAge = this->lastConfirmed ? now - *this->lastConfirmed : AGE_UNKNOWN}});
+                                                                           .confirmedAge = this->lastConfirmed ? now - *this->lastConfirmed : AGE_UNKNOWN,
+                                                                           .offersSnapshot = this->revision > 0 && !this->hasGap,
+                                                                           .wantsSnapshot = this->snapshotSource == name}});
 }
 
 void StoreChangeFeed::sendDigests(Instant now)
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -100,21 +100,24 @@
 
 void RouteControl::applyListing(const Listing &listing)
 {
-    if (!this->changeFeed.onListed(listing.revision, steadyNow())) {
+    if (!this->changeFeed.onListed(listing.items, listing.revision, steadyNow())) {
         logEvent(LogLevel::info,
                  "store-list-outdated",
                  {{.key = "revision", .value = std::to_string(listing.revision)}, {.key = "known", .value = std::to_string(this->revision)}});
         return;
     }
-    this->replaceState(listing);
+    logEvent(LogLevel::info,
+             "store-listed",
+             {{.key = "revision", .value = std::to_string(listing.revision)}, {.key = "items", .value = std::to_string(listing.items.size())}});
+    this->replaceState(listing.items, listing.revision);
     this->performChangeFeedActions();
 }
 
-void RouteControl::replaceState(const Listing &listing)
+void RouteControl::replaceState(std::span<const StoreItem> items, StoreRevision itemsRevision)
 {
     const std::set<std::string> previouslyOutOfService = std::exchange(this->domainsOutOfService, {});
     ListedItems listed;
-    for (const StoreItem &item : listing.items) {
+    for (const StoreItem &item : items) {
         this->applyItem(item, &listed);
     }
     this->registry.replaceAll(listed.servers, steadyNow());
@@ -125,12 +128,7 @@
             this->registry.setDomainOut(domain, false);
         }
     }
-    this->revision = listing.revision;
-    logEvent(LogLevel::info,
-             "store-listed",
-             {{.key = "revision", .value = std::to_string(listing.revision)},
-              {.key = "items", .value = std::to_string(listing.items.size())},
-              {.key = "servers", .value = std::to_string(listed.servers.size())}});
+    this->revision = itemsRevision;
     this->rebuild();
     this->scheduleExpiry();
     this->updateDesiredPeers();
@@ -146,7 +144,7 @@
         // no longer watches the store.
         this->watchSuspended = true;
         this->onStoreResponse();
-        this->changeFeed.onStoreUnavailable(steadyNow());
+        this->changeFeed.onWatchSuspended(steadyNow());
         this->performChangeFeedActions();
         return;
     }
--- a/lib/Runtime/RouteControlPeers.cpp
+++ b/lib/Runtime/RouteControlPeers.cpp
@@ -57,6 +57,7 @@
     const Instant now = steadyNow();
     std::visit(Visitor{[&](const PeerStoreDigest &digest) { this->changeFeed.onDigest(peer, digest, now); },
                        [&](const PeerStoreEvents &events) { this->changeFeed.onEvents(peer, events, now); },
+                       [&](const PeerStoreSnapshot &snapshot) { this->changeFeed.onSnapshot(peer, snapshot, now); },
                        [&](const PeerAttemptCounts &received) { this->attemptAggregator.addAttemptCounts(received.attemptCounts); },
                        [&](const PeerServerWarnings &received) { applyWarnings(*this->options.topology.load(), received.warnings, now); },
                        [&](const auto &) { logEvent(LogLevel::warning, "peer-message-unexpected", {{.key = "peer", .value = peer}}); }},
@@ -113,6 +114,19 @@
     this->applyEvents(relayed.events, relayed.upTo);
 }
 
+void RouteControl::perform(const ApplyRelayedSnapshot &snapshot)
+{
+    logEvent(LogLevel::info,
+             "store-snapshot-applied",
+             {{.key = "peer", .value = snapshot.peer},
+              {.key = "revision", .value = std::to_string(snapshot.revision)},
+              {.key = "known", .value = std::to_string(this->revision)},
+              {.key = "items", .value = std::to_string(snapshot.items.size())}});
+    // Ends the outage of the store first: missing servers may only have lapsed during it.
+    this->onStoreResponse();
+    this->replaceState(snapshot.items, snapshot.revision);
+}
+
 void RouteControl::perform(const ReportMissingChanges &missing)
 {
     logEvent(LogLevel::warning,
--- a/lib/Wire/PeerCodec.cpp
+++ b/lib/Wire/PeerCodec.cpp
@@ -22,11 +22,14 @@
     storeDigest = 8,
     storeEvents = 9,
     attemptCounts = 10,
-    serverWarnings = 11
+    serverWarnings = 11,
+    storeSnapshot = 12
 };
 
 /// The fields are type, base revision, last revision, removal grace and events.
 static constexpr qsizetype STORE_EVENTS_FIELDS = 5;
+/// The fields are type, revision and items.
+static constexpr qsizetype STORE_SNAPSHOT_FIELDS = 3;
 
 static QCborValue text(const std::string &value)
 {
@@ -139,6 +142,8 @@
     array.append(digest.distance);
     array.append(digest.wantsEvents);
     array.append(static_cast<qint64>(digest.confirmedAge.count()));
+    array.append(digest.offersSnapshot);
+    array.append(digest.wantsSnapshot);
     return array;
 }
 
@@ -168,6 +173,18 @@
     return array;
 }
 
+static QCborArray encode(const PeerStoreSnapshot &message)
+{
+    QCborArray array = beginMessage(PeerType::storeSnapshot);
+    array.append(number(message.revision));
+    QCborArray items;
+    for (const StoreItem &item : message.items) {
+        items.append(encodeEvent(item));
+    }
+    array.append(items);
+    return array;
+}
+
 static QCborArray encode(const PeerAttemptCounts &message)
 {
     QCborArray array = beginMessage(PeerType::attemptCounts);
@@ -243,10 +260,15 @@
     return statuses;
 }
 
+static StoreItem decodeItem(const QCborArray &array)
+{
+    return {.key = textOf(array.at(0)), .value = array.at(2).toByteArray(), .revision = numberOf(array.at(1))};
+}
+
 static StoreEvent decodeEvent(const QCborArray &array)
 {
     if (array.size() > 2) {
-        return StoreItem{.key = textOf(array.at(0)), .value = array.at(2).toByteArray(), .revision = numberOf(array.at(1))};
+        return decodeItem(array);
     }
     return StoreDeletion{.key = textOf(array.at(0)), .revision = numberOf(array.at(1))};
 }
@@ -261,6 +283,16 @@
     return message;
 }
 
+static PeerStoreSnapshot decodeStoreSnapshot(const QCborArray &array)
+{
+    PeerStoreSnapshot message{.revision = numberOf(array.at(1)), .items = {}};
+    const QCborArray items = array.at(2).toArray();
+    for (const QCborValue &item : items) {
+        message.items.push_back(decodeItem(item.toArray()));
+    }
+    return message;
+}
+
 static PeerAttemptCounts decodeAttemptCounts(const QCborArray &array)
 {
     PeerAttemptCounts message;
@@ -315,17 +347,25 @@
                                       .level = static_cast<int>(array.at(3).toInteger()),
                                       .cold = array.at(4).toBool()});
     case PeerType::storeDigest:
-        // Earlier versions send no age.
+        // Earlier versions send no age and no snapshots.
         return PeerMessage(PeerStoreDigest{.revision = numberOf(array.at(1)),
                                            .distance = static_cast<int>(array.at(2).toInteger(STORE_UNREACHABLE)),
                                            .wantsEvents = array.at(3).toBool(),
-                                           .confirmedAge = Duration(array.at(4).toInteger(AGE_UNKNOWN.count()))});
+                                           .confirmedAge = Duration(array.at(4).toInteger(AGE_UNKNOWN.count())),
+                                           .offersSnapshot = array.at(5).toBool(),
+                                           .wantsSnapshot = array.at(6).toBool()});
     case PeerType::storeEvents:
         // A truncated message must not be mistaken for one without events, which states that no key has changed.
         if (array.size() != STORE_EVENTS_FIELDS || !array.at(4).isArray()) {
             return malformed("store events message has a wrong number of fields or no list of events");
         }
         return PeerMessage(decodeStoreEvents(array));
+    case PeerType::storeSnapshot:
+        // A truncated message must not be mistaken for a store without items.
+        if (array.size() != STORE_SNAPSHOT_FIELDS || !array.at(2).isArray()) {
+            return malformed("store snapshot message has a wrong number of fields or no list of items");
+        }
+        return PeerMessage(decodeStoreSnapshot(array));
     case PeerType::attemptCounts:
         return PeerMessage(decodeAttemptCounts(array));
     case PeerType::serverWarnings:
--- a/unittests/Control/StoreChangeFeedTest.cpp
+++ b/unittests/Control/StoreChangeFeedTest.cpp
@@ -66,7 +66,7 @@
             harness.applied.push_back(item.key);
         }
         harness.revision = this->storeRevision();
-        EXPECT_TRUE(harness.feed->onListed(harness.revision, this->now));
+        EXPECT_TRUE(harness.feed->onListed(this->store, harness.revision, this->now));
     }
 
     StoreRevision storeRevision() const
@@ -146,6 +146,14 @@
                                }
                                harness.revision = std::max(harness.revision, relayed.upTo);
                            },
+                           [&harness](const ApplyRelayedSnapshot &snapshot) {
+                               EXPECT_GE(snapshot.revision, harness.revision) << "a snapshot must not go back";
+                               harness.applied.clear();
+                               for (const StoreItem &item : snapshot.items) {
+                                   harness.applied.push_back(item.key);
+                               }
+                               harness.revision = snapshot.revision;
+                           },
                            [](const ReportMissingChanges &) {}},
                    action);
     }
@@ -163,7 +171,8 @@
     {
         for (const auto &[from, send] : std::exchange(harness.inbox, {})) {
             std::visit(Visitor{[&, &peer = from](const PeerStoreDigest &digest) { harness.feed->onDigest(peer, digest, this->now); },
-                               [&, &peer = from](const PeerStoreEvents &events) { harness.feed->onEvents(peer, events, this->now); }},
+                               [&, &peer = from](const PeerStoreEvents &events) { harness.feed->onEvents(peer, events, this->now); },
+                               [&, &peer = from](const PeerStoreSnapshot &snapshot) { harness.feed->onSnapshot(peer, snapshot, this->now); }},
                        send.message);
         }
     }
@@ -177,7 +186,7 @@
     void watch(FeedHarness &harness)
     {
         if (harness.feed->followsPeer()) {
-            harness.feed->onStoreUnavailable(this->now);
+            harness.feed->onWatchSuspended(this->now);
             return;
         }
         ++harness.storeCalls;
@@ -244,6 +253,26 @@
         }
     }
 
+    /// Makes a follower miss more changes than its peers hold, and cuts its links. Resets the counts of calls.
+    FeedHarness &fallBehind()
+    {
+        const auto follower = std::find_if(this->harnesses.begin(), this->harnesses.end(), [](const auto &entry) { return !entry.second.feed->isRelay(); });
+        follower->second.frozen = true;
+        this->run(milliseconds(500));
+        for (int index = 0; index < 100; ++index) {
+            this->write("k" + std::to_string(index));
+        }
+        this->run(milliseconds(2000));
+        this->resetCallCounts();
+        // The links close while the instance is frozen because both sides detect the silence.
+        for (const std::string &relay : this->relaysIn(this->instanceItems.at(follower->first).domain)) {
+            this->blockedLinks.insert(std::minmax(follower->first, relay));
+        }
+        this->relink();
+        follower->second.frozen = false;
+        return follower->second;
+    }
+
     void resetCallCounts()
     {
         for (auto &[name, harness] : this->harnesses) {
@@ -393,7 +422,7 @@
     const StoreRevision listed = this->storeRevision();
     this->write("k1");
     this->run(milliseconds(200));
-    EXPECT_FALSE(follower->second.feed->onListed(listed, this->now));
+    EXPECT_FALSE(follower->second.feed->onListed({}, listed, this->now));
     this->write("k2");
     this->run(milliseconds(200));
     this->expectAllApplied("k1");
@@ -421,26 +450,60 @@
 {
     this->addDomain("a", 4);
     this->run(milliseconds(1000));
-    const auto follower = std::find_if(this->harnesses.begin(), this->harnesses.end(), [](const auto &entry) { return !entry.second.feed->isRelay(); });
-    follower->second.frozen = true;
-    this->run(milliseconds(500));
+    FeedHarness &follower = this->fallBehind();
+    this->blockedLinks.clear();
+    this->run(milliseconds(300));
+    this->expectAllApplied("k0");
+    this->expectAllApplied("k99");
+    EXPECT_GT(follower.storeCalls, 0);
+}
+
+/// Guards against an instance that the store refuses and that stays at an old configuration, because its peers no longer hold
+/// the changes that it lacks.
+TEST_F(StoreChangeFeedTest, anInstanceThatTheStoreRefusesCatchesUpWithoutHistory)
+{
+    this->addDomain("a", 4);
+    this->run(milliseconds(1000));
+    FeedHarness &follower = this->fallBehind();
+    follower.storeUnavailable = true;
+    this->blockedLinks.clear();
+    for (int step = 0; step < 10; ++step) {
+        this->run(STEP);
+        const std::size_t applied = follower.applied.size();
+        EXPECT_TRUE(applied == 0 || applied == 100) << "a partial history must not be applied, not even " << applied;
+    }
+    this->expectAllApplied("k0");
+    this->expectAllApplied("k99");
+    this->write("later");
+    this->run(milliseconds(200));
+    this->expectAllApplied("later");
+}
+
+/// The same through a relay that the store refuses as well.
+TEST_F(StoreChangeFeedTest, aDomainThatTheStoreRefusesCatchesUpThroughAnotherDomain)
+{
+    this->addDomain("a", 4);
+    this->addDomain("b", 4);
+    this->run(milliseconds(1000));
+    for (auto &[name, harness] : this->harnesses) {
+        harness.storeUnavailable = this->instanceItems.at(name).domain == "a";
+        harness.frozen = harness.storeUnavailable;
+    }
     for (int index = 0; index < 100; ++index) {
         this->write("k" + std::to_string(index));
     }
-    this->run(milliseconds(2000));
-    this->resetCallCounts();
-    // The links close while the instance is frozen because both sides detect the silence.
-    for (const std::string &relay : this->relaysIn("a")) {
-        this->blockedLinks.insert(std::minmax(follower->first, relay));
+    // All links of the domain close because it is silent.
+    for (const auto &[left, one] : this->harnesses) {
+        for (const auto &[right, other] : this->harnesses) {
+            this->blockedLinks.insert(std::minmax(left, right));
+        }
     }
-    this->relink();
-    follower->second.frozen = false;
-    follower->second.storeUnavailable = true;
+    this->run(milliseconds(500));
     this->blockedLinks.clear();
-    this->run(milliseconds(300));
-    EXPECT_EQ(follower->second.applied.size(), 0U) << "a partial history must not be applied";
-    follower->second.storeUnavailable = false;
-    this->run(milliseconds(300));
+    for (auto &[name, harness] : this->harnesses) {
+        harness.frozen = false;
+    }
+    this->run(milliseconds(2500));
     this->expectAllApplied("k0");
     this->expectAllApplied("k99");
 }
--- a/unittests/Wire/PeerCodecTest.cpp
+++ b/unittests/Wire/PeerCodecTest.cpp
@@ -75,6 +75,28 @@
     EXPECT_EQ(std::get<PeerStoreDigest>(*digest).confirmedAge, AGE_UNKNOWN);
 }
 
+TEST(PeerCodecTest, preservesStoreSnapshots)
+{
+    const PeerStoreSnapshot sent{.revision = 12,
+                                 .items = {{.key = "k1", .value = QByteArray("a\0b", 3), .revision = 9}, {.key = "k2", .value = {}, .revision = 12}}};
+    const Result<PeerMessage> decoded = decodePeerMessage(encodePeerMessage(sent), "peer");
+    ASSERT_TRUE(decoded);
+    const auto &read = std::get<PeerStoreSnapshot>(*decoded);
+    EXPECT_EQ(read.revision, 12U);
+    ASSERT_EQ(read.items.size(), 2U);
+    EXPECT_EQ(read.items[0].key, "k1");
+    EXPECT_EQ(read.items[0].value, QByteArray("a\0b", 3));
+    EXPECT_EQ(read.items[0].revision, 9U);
+    EXPECT_EQ(read.items[1].key, "k2");
+}
+
+TEST(PeerCodecTest, rejectsStoreSnapshotWithoutItems)
+{
+    // [12, 7]: decoded leniently, the truncated array would mean that the store is empty.
+    EXPECT_FALSE(decodePeerMessage(std::string("\x82\x0c\x07", 3), "peer"));
+    EXPECT_FALSE(decodePeerMessage(std::string("\x83\x0c\x07\x01", 4), "peer"));
+}
+
 TEST(PeerCodecTest, rejectsStoreEventsWithoutChanges)
 {
     // [9, 7, 12, 0]: decoded leniently, the truncated array would mean that nothing changed between the two revisions.
