Control: a relay and its follower do not choose each other as sources

Cause: a relay without the store takes the nearest peer, also a follower of its own that watches the store (distance 0); that follower takes the relay as soon as the relay has a source (distance 1). If both choose in the same moment, each tells the other "do not use me", each drops the other, each is again the best choice of the other, and so on as fast as the network carries it; each periodic digest adds one more message to the circle. Class of fault: two state machines that decide on each other's last message, without an order between them.

Change: an instance that the store answers uses only peers that watch the store too and that precede it in the order of relays. What it costs: followers of relays that lost the store keep their own watch until the relays have it back.

Why it works: along sources the distance falls, or at distance 0 the order does, so that two instances can't prefer each other.

The new test fails on the code before (the messages do not come to rest, four times). The harness now bounds the rounds of messages in all tests of the feed.

--- a/include/ragwortcart/Control/StoreChangeFeed.h
+++ b/include/ragwortcart/Control/StoreChangeFeed.h
@@ -187,7 +187,9 @@
     std::vector<std::string> ownRelays() const;
     void updateRole();
     Preference preference(const std::string &name, const Peer &peer) const;
-    bool isUsable(const Peer &peer, Instant now) const;
+    /// Returns whether the peer may be the source. An instance that watches the store uses only peers that watch it too and that
+    /// precede it in the order of relays, so that no two instances choose each other.
+    bool isUsable(const std::string &name, const Peer &peer, Instant now) const;
     /// Returns the usable peer that ranks first, or nothing. With \p withSnapshot only peers that offer a snapshot count.
     std::optional<std::string> preferredPeer(bool withSnapshot, Instant now) const;
     void chooseSource(Instant now);
--- a/lib/Control/StoreChangeFeed.cpp
+++ b/lib/Control/StoreChangeFeed.cpp
@@ -10,7 +10,8 @@
 
 namespace ragwort {
 
-/// Relays use only sources that watch the store themselves. Other instances also use relays whose source watches it.
+/// Relays, and instances that watch the store, use only sources that watch the store themselves. Other instances also use relays
+/// whose source watches it.
 static constexpr int RELAY_MAX_SOURCE_DISTANCE = 0;
 static constexpr int FOLLOWER_MAX_SOURCE_DISTANCE = 1;
 
@@ -26,6 +27,12 @@
                       event);
 }
 
+/// The order in which the instances of a domain become its relays.
+static bool precedes(const std::string &left, const std::string &right)
+{
+    return std::pair(stableHash(left), left) < std::pair(stableHash(right), right);
+}
+
 StoreChangeFeed::StoreChangeFeed(Options feedOptions) : options(std::move(feedOptions))
 {
 }
@@ -61,9 +68,7 @@
             names.push_back(name);
         }
     }
-    std::sort(names.begin(), names.end(), [](const std::string &left, const std::string &right) {
-        return std::pair(stableHash(left), left) < std::pair(stableHash(right), right);
-    });
+    std::sort(names.begin(), names.end(), precedes);
     const std::size_t wanted = std::max(this->options.minRelays, (names.size() + this->options.instancesPerRelay - 1) / this->options.instancesPerRelay);
     names.resize(std::min(names.size(), wanted));
     return names;
@@ -125,9 +130,13 @@
     return this->source ? this->peers.at(*this->source).distance + 1 : STORE_UNREACHABLE;
 }
 
-bool StoreChangeFeed::isUsable(const Peer &peer, Instant now) const
+bool StoreChangeFeed::isUsable(const std::string &name, const Peer &peer, Instant now) const
 {
-    const int maxDistance = this->relay ? RELAY_MAX_SOURCE_DISTANCE : FOLLOWER_MAX_SOURCE_DISTANCE;
+    if (this->storeAvailable && !precedes(name, this->options.instance)) {
+        return false;
+    }
+    const bool needsNearest = this->relay || this->storeAvailable;
+    const int maxDistance = needsNearest ? RELAY_MAX_SOURCE_DISTANCE : FOLLOWER_MAX_SOURCE_DISTANCE;
     return peer.distance >= 0 && peer.distance <= maxDistance && now - peer.lastContact < this->options.peerTimeout;
 }
 
@@ -140,7 +149,7 @@
 {
     std::optional<std::string> best;
     for (const auto &[name, peer] : this->peers) {
-        if (!this->isUsable(peer, now) || (withSnapshot && !peer.offersSnapshot)) {
+        if (!this->isUsable(name, peer, now) || (withSnapshot && !peer.offersSnapshot)) {
             continue;
         }
         if (!best || this->preference(name, peer) < this->preference(*best, this->peers.at(*best))) {
--- a/unittests/Control/StoreChangeFeedTest.cpp
+++ b/unittests/Control/StoreChangeFeedTest.cpp
@@ -18,16 +18,30 @@
 namespace {
 
 constexpr Duration STEP = milliseconds(100);
+/// Messages that answer each other without any time passing come to rest within this number of rounds.
+constexpr int MAXIMUM_MESSAGE_ROUNDS = 50;
+/// Time until an instance detects that the store does not reply to its watch.
+constexpr Duration WATCH_LOSS_DETECTION = milliseconds(2400);
+/// Time until both sides close a link that has fallen silent.
+constexpr Duration LINK_TIMEOUT = milliseconds(3000);
+/// Time within which an instance that reaches the store applies each change.
+constexpr Duration APPLY_BOUND = milliseconds(5000);
+/// An instance counts as reaching the store once it has done so for this time.
+constexpr Duration CONTACT_TIME = milliseconds(5000);
 
 /// An instance as driven by its control thread: it watches the store unless a peer forwards all changes.
 struct FeedHarness
 {
     std::unique_ptr<StoreChangeFeed> feed;
     std::vector<std::string> applied;
+    /// When the store last began to reply to this instance again.
+    Instant lastFault{};
     StoreRevision revision = 0;
     int storeCalls = 0;
-    /// The store does not reply to this instance.
+    /// The store does not reply to this instance, which detects that at once.
     bool storeUnavailable = false;
+    /// The store does not reply to this instance since this time, which it detects after `WATCH_LOSS_DETECTION`.
+    std::optional<Instant> silentSince;
     /// Neither runs nor replies. Messages to it are queued, as in a socket's buffer.
     bool frozen = false;
     std::vector<std::pair<std::string, SendStoreMessage>> inbox;
@@ -77,6 +91,7 @@
     void write(const std::string &key)
     {
         this->store.push_back({.key = key, .value = "value", .revision = this->storeRevision() + 2});
+        this->writtenAt[key] = this->now;
     }
 
     void relink()
@@ -84,8 +99,11 @@
         std::set<std::pair<std::string, std::string>> desired;
         for (const auto &[name, harness] : this->harnesses) {
             for (const auto &[peer, address] : harness.feed->desiredPeers()) {
-                if (this->harnesses.contains(peer) && !this->blockedLinks.contains(std::minmax(name, peer))) {
-                    desired.insert(std::minmax(name, peer));
+                const std::pair<std::string, std::string> link = std::minmax(name, peer);
+                const auto dead = this->deadSince.find(link);
+                const bool timedOut = dead != this->deadSince.end() && this->now - dead->second >= LINK_TIMEOUT;
+                if (this->harnesses.contains(peer) && !this->blockedLinks.contains(link) && !timedOut) {
+                    desired.insert(link);
                 }
             }
         }
@@ -122,7 +140,11 @@
     void deliver()
     {
         bool anyAction = true;
-        while (anyAction) {
+        for (int round = 0; anyAction; ++round) {
+            if (round == MAXIMUM_MESSAGE_ROUNDS) {
+                ADD_FAILURE() << "the messages between the instances do not come to rest";
+                return;
+            }
             anyAction = false;
             for (auto &[name, harness] : this->harnesses) {
                 if (harness.frozen) {
@@ -161,7 +183,8 @@
     void enqueue(const std::string &from, const SendStoreMessage &send)
     {
         const auto receiver = this->harnesses.find(send.peer);
-        if (receiver == this->harnesses.end() || !this->linked.contains(std::minmax(from, send.peer))) {
+        if (receiver == this->harnesses.end() || !this->linked.contains(std::minmax(from, send.peer))
+            || this->deadSince.contains(std::minmax(from, send.peer))) {
             return;
         }
         receiver->second.inbox.emplace_back(from, send);
@@ -190,7 +213,10 @@
             return;
         }
         ++harness.storeCalls;
-        if (harness.storeUnavailable) {
+        if (harness.silentSince && this->now - *harness.silentSince < WATCH_LOSS_DETECTION) {
+            return;
+        }
+        if (harness.storeUnavailable || harness.silentSince) {
             harness.feed->onStoreUnavailable(this->now);
             return;
         }
@@ -253,6 +279,14 @@
         }
     }
 
+    /// Returns how long ago the oldest change was made that the instance has not applied.
+    Duration oldestMissing(const FeedHarness &harness) const
+    {
+        const auto missing
+            = std::find_if(this->store.rbegin(), this->store.rend(), [&harness](const StoreItem &item) { return item.revision <= harness.revision; });
+        return missing == this->store.rbegin() ? Duration::zero() : this->now - this->writtenAt.at(std::prev(missing)->key);
+    }
+
     /// Makes a follower miss more changes than its peers hold, and cuts its links. Resets the counts of calls.
     FeedHarness &fallBehind()
     {
@@ -284,9 +318,12 @@
     std::map<std::string, FeedHarness> harnesses;
     std::map<std::string, InstanceItem> instanceItems;
     std::vector<StoreItem> store;
+    std::map<std::string, Instant> writtenAt;
     std::set<std::pair<std::string, std::string>> linked;
     /// Pairs that cannot be linked, in lexicographic order.
     std::set<std::pair<std::string, std::string>> blockedLinks;
+    /// Links that are open and deliver nothing, by the time since which they do.
+    std::map<std::pair<std::string, std::string>, Instant> deadSince;
 };
 
 } // namespace
@@ -413,6 +450,31 @@
     }
 }
 
+/// Guards against a storm of messages: a relay that lost the store and a follower that reaches it chose each other as sources,
+/// gave each other up again, and so on, as fast as the network carried it.
+TEST_F(StoreChangeFeedTest, aRelayAndItsFollowerDoNotKeepChoosingEachOther)
+{
+    for (const char *domain : {"a", "b", "c", "d"}) {
+        this->addDomain(domain, 4);
+    }
+    this->run(milliseconds(2000));
+    // Relays and followers find their next sources at the same time, as the store returns to the followers and to the relays of one
+    // domain.
+    for (const char *domain : {"a", "b", "c", "d"}) {
+        for (auto &[name, harness] : this->harnesses) {
+            harness.storeUnavailable = true;
+        }
+        this->run(milliseconds(1000));
+        for (auto &[name, harness] : this->harnesses) {
+            harness.storeUnavailable = harness.feed->isRelay() && this->instanceItems.at(name).domain != domain;
+        }
+        this->run(milliseconds(1000));
+    }
+    this->write("k1");
+    this->run(milliseconds(200));
+    this->expectAllApplied("k1");
+}
+
 /// Guards against a list that replaces later changes: servers that had left or drained came back until the next change.
 TEST_F(StoreChangeFeedTest, aListOlderThanTheRelayedChangesIsIgnored)
 {
