Control: an instance reads the store itself when nobody confirms its knowledge

Cause: a follower took each change from one relay and trusted what that relay said of its distance from the store. A relay that has lost the store says so only when its watch has timed out (2.4 s), then takes another relay that may have lost it as well, or whose link is dead (1.6 s and up to half a second more), and so on: each delay is bounded, their sum is not. Class of fault: freshness judged hop by hop instead of end to end.

Change: digests already say how long ago the store confirmed the sender's knowledge. An instance whose own knowledge has not been confirmed for 0.9 s more than a relay's watch (2.7 s here, 1.7 s where changes must apply within 3 s) watches the store itself, and no peer whose knowledge is older is used as a source. Relays pass confirmations on at once, so that calm instances stay far below the bound and make no more calls.

Why it works: the age is counted from the store's own reply and not from the last hop, so that no chain of faulty peers, lost subscription or slow relay can add to it: whoever reaches the store has asked it within the timeout and half a second.

Control and Platform tests pass.

--- a/include/ragwortcart/Control/StoreChangeFeed.h
+++ b/include/ragwortcart/Control/StoreChangeFeed.h
@@ -79,6 +79,9 @@
         std::size_t instancesPerRelay = 25;
         /// A peer that has been silent for this long is not used as a source.
         Duration peerTimeout = std::chrono::milliseconds(1600);
+        /// An instance whose knowledge the store has not confirmed for this long, directly or through peers, reads the store itself.
+        /// Bounds the delay of a change at an instance that reaches the store, whatever its peers do.
+        Duration confirmationTimeout = std::chrono::milliseconds(2700);
         /// Size of the history kept for peers that have fallen behind; 256 KiB holds a few configurations and some
         /// hundred servers.
         std::size_t historyBytes = 256 * 1024;
@@ -120,7 +123,12 @@
     /// Returns true while this instance need not watch the store because a peer forwards all changes.
     bool followsPeer() const
     {
-        return this->source.has_value() && !this->relay;
+        return this->source.has_value() && !this->relay && !this->unconfirmed;
+    }
+    /// Returns true if the store has not confirmed this instance's knowledge within the confirmation timeout.
+    bool isUnconfirmed() const
+    {
+        return this->unconfirmed;
     }
     const std::optional<std::string> &sourcePeer() const
     {
@@ -154,6 +162,8 @@
     struct Peer
     {
         Instant lastContact{};
+        /// When the store last confirmed the peer's knowledge. Nothing if the peer does not tell.
+        std::optional<Instant> confirmedAt;
         int distance = STORE_UNREACHABLE;
         /// Invariant: while set, the peer has been sent all changes up to `sentUpTo`, or a message that shows the gap.
         bool subscribed = false;
@@ -201,7 +211,9 @@
     void sendSnapshot(const std::string &name, Peer &peer, Instant now);
     /// Makes \p base the beginning of an empty history.
     void restartHistory(StoreRevision base);
-    void confirm(Instant when);
+    void confirm(Instant when, Instant now);
+    void updateUnconfirmed(Instant now);
+    void sendDigestsToSubscribers(Instant now);
     void sendDigest(const std::string &name, Instant now);
     void sendDigests(Instant now);
 
@@ -227,6 +239,8 @@
     StoreRevision revision = 0;
     /// At this time the store held no change after `revision`.
     std::optional<Instant> lastConfirmed;
+    /// `lastConfirmed` was further back than the confirmation timeout when it was last checked.
+    bool unconfirmed = false;
     /// Invariant: holds every change after `historyBegin` up to `revision`, in order.
     std::deque<HistoryEntry> history;
     StoreRevision historyBegin = 0;
--- a/lib/Control/StoreChangeFeed.cpp
+++ b/lib/Control/StoreChangeFeed.cpp
@@ -135,6 +135,9 @@
     if (this->storeAvailable && !precedes(name, this->options.instance)) {
         return false;
     }
+    if (peer.confirmedAt && now - *peer.confirmedAt >= this->options.confirmationTimeout) {
+        return false;
+    }
     const bool needsNearest = this->relay || this->storeAvailable;
     const int maxDistance = needsNearest ? RELAY_MAX_SOURCE_DISTANCE : FOLLOWER_MAX_SOURCE_DISTANCE;
     return peer.distance >= 0 && peer.distance <= maxDistance && now - peer.lastContact < this->options.peerTimeout;
@@ -213,8 +216,10 @@
     state.lastContact = now;
     state.distance = digest.distance;
     state.offersSnapshot = digest.offersSnapshot;
-    if (digest.confirmedAge >= Duration::zero() && digest.revision <= this->revision) {
-        this->confirm(now - digest.confirmedAge);
+    state.confirmedAt = digest.confirmedAge >= Duration::zero() ? std::optional(now - digest.confirmedAge) : std::nullopt;
+    const std::optional<Instant> confirmedBefore = this->lastConfirmed;
+    if (state.confirmedAt && digest.revision <= this->revision) {
+        this->confirm(*state.confirmedAt, now);
     }
     if (digest.wantsEvents && !state.subscribed) {
         state.sentUpTo = digest.revision;
@@ -229,6 +234,8 @@
     }
     if (this->distance() != previousDistance) {
         this->sendDigests(now);
+    } else if (this->source == peer && this->lastConfirmed > confirmedBefore) {
+        this->sendDigestsToSubscribers(now);
     }
 }
 
@@ -282,7 +289,7 @@
     }
     this->restartHistory(listRevision);
     this->contents.replace(items);
-    this->confirm(now);
+    this->confirm(now, now);
     this->hasGap = false;
     this->chooseSource(now);
     this->pushToAll(Duration::zero());
@@ -301,10 +308,12 @@
         }
     }
     this->revision = std::max(this->revision, upTo);
-    this->confirm(now);
+    this->confirm(now, now);
     this->chooseSource(now);
     this->pushToAll(removalGrace);
-    if (!availableBefore) {
+    if (availableBefore) {
+        this->sendDigestsToSubscribers(now);
+    } else {
         this->sendDigests(now);
     }
 }
@@ -338,6 +347,7 @@
 void StoreChangeFeed::advance(Instant now)
 {
     const int previousDistance = this->distance();
+    this->updateUnconfirmed(now);
     this->chooseSource(now);
     if (now >= this->nextDigests || this->distance() != previousDistance) {
         this->sendDigests(now);
@@ -433,9 +443,24 @@
     this->revision = base;
 }
 
-void StoreChangeFeed::confirm(Instant when)
+void StoreChangeFeed::confirm(Instant when, Instant now)
 {
     this->lastConfirmed = std::max(this->lastConfirmed.value_or(when), when);
+    this->updateUnconfirmed(now);
+}
+
+void StoreChangeFeed::updateUnconfirmed(Instant now)
+{
+    this->unconfirmed = this->lastConfirmed && now - *this->lastConfirmed >= this->options.confirmationTimeout;
+}
+
+void StoreChangeFeed::sendDigestsToSubscribers(Instant now)
+{
+    for (const auto &[name, peer] : this->peers) {
+        if (peer.subscribed) {
+            this->sendDigest(name, now);
+        }
+    }
 }
 
 void StoreChangeFeed::sendDigest(const std::string &name, Instant now)
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -15,6 +15,9 @@
 static constexpr Duration MINIMUM_EVENT_PAUSE = std::chrono::milliseconds(250);
 static constexpr Duration EVENT_PAUSE_PER_INSTANCE = std::chrono::milliseconds(20);
 static constexpr Duration MAXIMUM_EVENT_PAUSE = std::chrono::milliseconds(1400);
+/// Time beyond a relay's watch within which its followers hear that the watch has ended: the pause after events, a digest interval and
+/// the transfer.
+static constexpr Duration CONFIRMATION_MARGIN = MINIMUM_EVENT_PAUSE + STORE_DIGEST_INTERVAL + std::chrono::milliseconds(150);
 static constexpr Duration INITIAL_RETRY_DELAY = std::chrono::milliseconds(100);
 static constexpr Duration MAXIMUM_RETRY_DELAY = std::chrono::milliseconds(800);
 /// Time without renewal after which the store deletes an instance's entry, for example after a crash.
@@ -38,7 +41,8 @@
 RouteControl::RouteControl(Options controlOptions)
     : options(std::move(controlOptions))
     , registry(this->options.registry)
-    , changeFeed({.instance = this->options.instance, .domain = this->options.domain})
+    , changeFeed(
+          {.instance = this->options.instance, .domain = this->options.domain, .confirmationTimeout = this->options.relayWatchWait + CONFIRMATION_MARGIN})
     , storeCalls(this->options.metrics.counter("ragwort_store_calls_total"))
 {
     this->registerGauges();
@@ -151,7 +155,8 @@
     this->watchSuspended = false;
     this->storeCalls.add();
     const Duration regularWait = this->changeFeed.hasSubscribers() ? this->options.relayWatchWait : this->options.watchWait;
-    const Duration wait = this->consecutiveFailures == 0 ? regularWait : PROBE_WATCH_WAIT;
+    const bool probes = this->consecutiveFailures > 0 || this->changeFeed.isUnconfirmed();
+    const Duration wait = probes ? PROBE_WATCH_WAIT : regularWait;
     this->options.store.watch({}, this->revision, wait, [this](const Result<StoreEvents> &events) { this->onEvents(events); });
 }
 
--- a/lib/Runtime/RouteControlPeers.cpp
+++ b/lib/Runtime/RouteControlPeers.cpp
@@ -157,6 +157,13 @@
     this->updateGauges();
     if (this->watchSuspended && !this->changeFeed.followsPeer()) {
         this->watchSuspended = false;
+        if (this->changeFeed.isUnconfirmed()) {
+            logEvent(LogLevel::info,
+                     "knowledge-unconfirmed",
+                     {{.key = "through", .value = source.empty() ? "itself" : source},
+                      {.key = "revision", .value = std::to_string(this->revision)},
+                      {.key = "confirmed_ms_ago", .value = std::to_string(toMs(steadyNow() - this->changeFeed.confirmedAt().value_or(steadyNow())))}});
+        }
         this->watch();
     }
 }
--- a/unittests/Control/StoreChangeFeedTest.cpp
+++ b/unittests/Control/StoreChangeFeedTest.cpp
@@ -20,8 +20,9 @@
 constexpr Duration STEP = milliseconds(100);
 /// Messages that answer each other without any time passing come to rest within this number of rounds.
 constexpr int MAXIMUM_MESSAGE_ROUNDS = 50;
-/// Time until an instance detects that the store does not reply to its watch.
-constexpr Duration WATCH_LOSS_DETECTION = milliseconds(2400);
+/// Time until an instance detects that the store does not reply to its watch. The watch of an instance with followers is shorter.
+constexpr Duration WATCH_LOSS_DETECTION = milliseconds(4100);
+constexpr Duration RELAY_WATCH_LOSS_DETECTION = milliseconds(2400);
 /// Time until both sides close a link that has fallen silent.
 constexpr Duration LINK_TIMEOUT = milliseconds(3000);
 /// Time within which an instance that reaches the store applies each change.
@@ -40,7 +41,7 @@
     int storeCalls = 0;
     /// The store does not reply to this instance, which detects that at once.
     bool storeUnavailable = false;
-    /// The store does not reply to this instance since this time, which it detects after `WATCH_LOSS_DETECTION`.
+    /// The store does not reply to this instance since this time, which it detects only later.
     std::optional<Instant> silentSince;
     /// Neither runs nor replies. Messages to it are queued, as in a socket's buffer.
     bool frozen = false;
@@ -213,7 +214,8 @@
             return;
         }
         ++harness.storeCalls;
-        if (harness.silentSince && this->now - *harness.silentSince < WATCH_LOSS_DETECTION) {
+        const Duration lossDetection = harness.feed->hasSubscribers() ? RELAY_WATCH_LOSS_DETECTION : WATCH_LOSS_DETECTION;
+        if (harness.silentSince && this->now - *harness.silentSince < lossDetection) {
             return;
         }
         if (harness.storeUnavailable || harness.silentSince) {
@@ -326,6 +328,10 @@
     std::map<std::pair<std::string, std::string>, Instant> deadSince;
 };
 
+class StoreChangeFeedDelayTest : public StoreChangeFeedTest, public testing::WithParamInterface<unsigned>
+{
+};
+
 } // namespace
 
 TEST_F(StoreChangeFeedTest, twoRelaysPerDomainWatchTheStore)
@@ -475,6 +481,49 @@
     this->expectAllApplied("k1");
 }
 
+/// Guards against a confirmed configuration that is late at instances that reach the store, because relays lose the store one
+/// after the other and links fall silent: each delay of detection was bounded, but they added up.
+TEST_P(StoreChangeFeedDelayTest, instancesThatReachTheStoreApplyEachChangeInTime)
+{
+    for (const char *domain : {"a", "b", "c", "d"}) {
+        this->addDomain(domain, 4);
+    }
+    pcg32 random(GetParam());
+    std::map<std::string, Instant> silentUntil;
+    std::map<std::pair<std::string, std::string>, Instant> deadUntil;
+    Duration worst{};
+    for (int step = 0; step < 6000; ++step) {
+        if (step % 3 == 0) {
+            this->write("k" + std::to_string(step));
+        }
+        for (auto &[name, harness] : this->harnesses) {
+            if (random(120) == 0 && !harness.silentSince) {
+                harness.silentSince = this->now;
+                silentUntil[name] = this->now + milliseconds(1000 + random(5000));
+            } else if (harness.silentSince && this->now >= silentUntil[name]) {
+                harness.silentSince.reset();
+                harness.lastFault = this->now;
+            }
+        }
+        for (const auto &link : this->linked) {
+            if (random(120) == 0 && !this->deadSince.contains(link)) {
+                this->deadSince[link] = this->now;
+                deadUntil[link] = this->now + milliseconds(1000 + random(6000));
+            }
+        }
+        std::erase_if(this->deadSince, [&](const auto &dead) { return this->now >= deadUntil.at(dead.first); });
+        this->run(STEP);
+        for (const auto &[name, harness] : this->harnesses) {
+            if (!harness.silentSince && this->now - harness.lastFault >= CONTACT_TIME) {
+                worst = std::max(worst, this->oldestMissing(harness));
+            }
+        }
+    }
+    EXPECT_LE(worst, APPLY_BOUND);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, StoreChangeFeedDelayTest, testing::Values(11U, 74U, 129U, 349U));
+
 /// Guards against a list that replaces later changes: servers that had left or drained came back until the next change.
 TEST_F(StoreChangeFeedTest, aListOlderThanTheRelayedChangesIsIgnored)
 {
