Control: the age of what an instance knows no longer depends on slow peers

Cause: a relay stamped a confirmation with the time at which it came to read the store's answer, and the receiver added the age in a digest to the time at which it came to read that. What either waited in a queue was counted as fresh.

Change: the relay counts from its request, or from the end of the wait that it asked for if nothing had changed; each digest echoes the receiver's last one, and the receiver counts from when it made that. Both are before the store's answer by the reader's own clock. A relay with followers ends its watch so that a confirmation falls due each relay watch wait, also after events.

Why it works: both clocks err on the side of old; a delay on the way can only make an instance ask the store itself sooner.

Control, Wire and Platform tests pass.

--- a/include/ragwortcart/Control/PeerMessages.h
+++ b/include/ragwortcart/Control/PeerMessages.h
@@ -96,6 +96,11 @@
     bool offersSnapshot = false;
     /// The sender lacks changes that it cannot read from the store, and asks the receiver for a `PeerStoreSnapshot`.
     bool wantsSnapshot = false;
+    /// When the message was made, in microseconds on the sender's monotonic clock.
+    std::int64_t madeAtUs = 0;
+    /// `madeAtUs` of the receiver's last digest, 0 before the first. Bounds the age of this message by the receiver's own clock, however
+    /// slow the sender and the link are.
+    std::int64_t echoedUs = 0;
 };
 
 /// All items of the metadata store. Sent to an instance that lacks changes which no history contains any more.
--- a/include/ragwortcart/Control/StoreChangeFeed.h
+++ b/include/ragwortcart/Control/StoreChangeFeed.h
@@ -81,7 +81,7 @@
         Duration peerTimeout = std::chrono::milliseconds(1600);
         /// An instance whose knowledge the store has not confirmed for this long, directly or through peers, reads the store itself.
         /// Bounds the delay of a change at an instance that reaches the store, whatever its peers do.
-        Duration confirmationTimeout = std::chrono::milliseconds(2700);
+        Duration confirmationTimeout = std::chrono::milliseconds(3000);
         /// Size of the history kept for peers that have fallen behind; 256 KiB holds a few configurations and some
         /// hundred servers.
         std::size_t historyBytes = 256 * 1024;
@@ -105,11 +105,11 @@
     void onEvents(const std::string &peer, const PeerStoreEvents &message, Instant now);
     void onSnapshot(const std::string &peer, const PeerStoreSnapshot &snapshot, Instant now);
 
-    /// The store has been listed; all changes up to \p listRevision are known. Returns false if later changes have arrived from a peer
-    /// meanwhile; the caller must then ignore the list.
-    [[nodiscard]] bool onListed(std::span<const StoreItem> items, StoreRevision listRevision, Instant now);
-    /// The store has answered a watch with the changes after the last known revision.
-    void onStoreEvents(std::span<const StoreEvent> events, StoreRevision upTo, Duration removalGrace, Instant now);
+    /// The store has been listed; all changes up to \p listRevision are known, among them all that were made before \p asOf. Returns false
+    /// if later changes have arrived from a peer meanwhile; the caller must then ignore the list.
+    [[nodiscard]] bool onListed(std::span<const StoreItem> items, StoreRevision listRevision, Instant asOf, Instant now);
+    /// The store has answered a watch with the changes after the last known revision, among them all that were made before \p asOf.
+    void onStoreEvents(std::span<const StoreEvent> events, StoreRevision upTo, Duration removalGrace, Instant asOf, Instant now);
     /// The store failed to reply.
     void onStoreUnavailable(Instant now);
     /// This instance no longer watches the store, because a peer forwards all changes.
@@ -164,6 +164,8 @@
         Instant lastContact{};
         /// When the store last confirmed the peer's knowledge. Nothing if the peer does not tell.
         std::optional<Instant> confirmedAt;
+        /// `madeAtUs` of the peer's last digest.
+        std::int64_t lastDigestUs = 0;
         int distance = STORE_UNREACHABLE;
         /// Invariant: while set, the peer has been sent all changes up to `sentUpTo`, or a message that shows the gap.
         bool subscribed = false;
--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -83,6 +83,15 @@
     {
         std::vector<StoreItem> items;
         StoreRevision revision = 0;
+        /// When the first page was requested. The list contains all changes made before.
+        Instant requestedAt{};
+    };
+
+    /// A watch that the store has not answered yet.
+    struct PendingWatch
+    {
+        Instant requestedAt{};
+        Duration wait{};
     };
 
     /// What the metrics show of this instance's knowledge of the store. Written by the control thread, read by the operators' thread.
@@ -109,7 +118,9 @@
     void applyListing(const Listing &listing);
     void replaceState(std::span<const StoreItem> items, StoreRevision itemsRevision);
     void watch();
-    void onEvents(const Result<StoreEvents> &result);
+    /// Returns for how long the next watch is to wait for events.
+    Duration nextWatchWait() const;
+    void onEvents(const PendingWatch &answered, const Result<StoreEvents> &result);
     /// Applies the events that are newer than `revision` and publishes the resulting topology.
     void applyEvents(std::span<const StoreEvent> events, StoreRevision upTo);
     void applyEvent(const StoreEvent &event);
--- a/lib/Control/StoreChangeFeed.cpp
+++ b/lib/Control/StoreChangeFeed.cpp
@@ -205,6 +205,16 @@
     }
 }
 
+/// Returns when the store confirmed the sender's knowledge, by the receiver's clock, or nothing if the digest does not tell. The digest was
+/// made after the receiver's own digest that it echoes, so the time is never too late.
+static std::optional<Instant> confirmationTime(const PeerStoreDigest &digest)
+{
+    if (digest.confirmedAge < Duration::zero() || digest.echoedUs == 0) {
+        return std::nullopt;
+    }
+    return Instant(Duration(digest.echoedUs)) - digest.confirmedAge;
+}
+
 void StoreChangeFeed::onDigest(const std::string &peer, const PeerStoreDigest &digest, Instant now)
 {
     const auto found = this->peers.find(peer);
@@ -216,7 +226,8 @@
     state.lastContact = now;
     state.distance = digest.distance;
     state.offersSnapshot = digest.offersSnapshot;
-    state.confirmedAt = digest.confirmedAge >= Duration::zero() ? std::optional(now - digest.confirmedAge) : std::nullopt;
+    state.lastDigestUs = digest.madeAtUs;
+    state.confirmedAt = confirmationTime(digest);
     const std::optional<Instant> confirmedBefore = this->lastConfirmed;
     if (state.confirmedAt && digest.revision <= this->revision) {
         this->confirm(*state.confirmedAt, now);
@@ -280,7 +291,7 @@
     this->sendDigests(now);
 }
 
-bool StoreChangeFeed::onListed(std::span<const StoreItem> items, StoreRevision listRevision, Instant now)
+bool StoreChangeFeed::onListed(std::span<const StoreItem> items, StoreRevision listRevision, Instant asOf, Instant now)
 {
     this->storeAvailable = true;
     this->storeFailed = false;
@@ -289,7 +300,7 @@
     }
     this->restartHistory(listRevision);
     this->contents.replace(items);
-    this->confirm(now, now);
+    this->confirm(asOf, now);
     this->hasGap = false;
     this->chooseSource(now);
     this->pushToAll(Duration::zero());
@@ -297,7 +308,7 @@
     return true;
 }
 
-void StoreChangeFeed::onStoreEvents(std::span<const StoreEvent> events, StoreRevision upTo, Duration removalGrace, Instant now)
+void StoreChangeFeed::onStoreEvents(std::span<const StoreEvent> events, StoreRevision upTo, Duration removalGrace, Instant asOf, Instant now)
 {
     const bool availableBefore = std::exchange(this->storeAvailable, true);
     this->storeFailed = false;
@@ -308,7 +319,7 @@
         }
     }
     this->revision = std::max(this->revision, upTo);
-    this->confirm(now, now);
+    this->confirm(asOf, now);
     this->chooseSource(now);
     this->pushToAll(removalGrace);
     if (availableBefore) {
@@ -466,6 +477,7 @@
 void StoreChangeFeed::sendDigest(const std::string &name, Instant now)
 {
     const bool isSource = this->source == name;
+    const auto peer = this->peers.find(name);
     this->actions.emplace_back(SendStoreMessage{.peer = name,
                                                 // The source must not use this instance as its own source.
                                                 .message = PeerStoreDigest{.revision = this->revision,
@@ -473,7 +485,9 @@
                                                                            .wantsEvents = isSource,
                                                                            .confirmedAge = this->lastConfirmed ? now - *this->lastConfirmed : AGE_UNKNOWN,
                                                                            .offersSnapshot = this->revision > 0 && !this->hasGap,
-                                                                           .wantsSnapshot = this->snapshotSource == name}});
+                                                                           .wantsSnapshot = this->snapshotSource == name,
+                                                                           .madeAtUs = now.time_since_epoch().count(),
+                                                                           .echoedUs = peer == this->peers.end() ? 0 : peer->second.lastDigestUs}});
 }
 
 void StoreChangeFeed::sendDigests(Instant now)
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -15,9 +15,9 @@
 static constexpr Duration MINIMUM_EVENT_PAUSE = std::chrono::milliseconds(250);
 static constexpr Duration EVENT_PAUSE_PER_INSTANCE = std::chrono::milliseconds(20);
 static constexpr Duration MAXIMUM_EVENT_PAUSE = std::chrono::milliseconds(1400);
-/// Time beyond a relay's watch within which its followers hear that the watch has ended: the pause after events, a digest interval and
-/// the transfer.
-static constexpr Duration CONFIRMATION_MARGIN = MINIMUM_EVENT_PAUSE + STORE_DIGEST_INTERVAL + std::chrono::milliseconds(150);
+/// Time beyond a relay's watch within which its followers know that the watch has ended: the pause after events, the interval of the digests
+/// that the relay echoes, and the transfer.
+static constexpr Duration CONFIRMATION_MARGIN = MINIMUM_EVENT_PAUSE + STORE_DIGEST_INTERVAL + std::chrono::milliseconds(450);
 static constexpr Duration INITIAL_RETRY_DELAY = std::chrono::milliseconds(100);
 static constexpr Duration MAXIMUM_RETRY_DELAY = std::chrono::milliseconds(800);
 /// Time without renewal after which the store deletes an instance's entry, for example after a crash.
@@ -74,7 +74,9 @@
 
 void RouteControl::listStore()
 {
-    this->listPage(std::make_shared<Listing>(), {});
+    auto listing = std::make_shared<Listing>();
+    listing->requestedAt = steadyNow();
+    this->listPage(listing, {});
 }
 
 void RouteControl::listPage(const std::shared_ptr<Listing> &listing, const std::string &afterKey)
@@ -104,7 +106,7 @@
 
 void RouteControl::applyListing(const Listing &listing)
 {
-    if (!this->changeFeed.onListed(listing.items, listing.revision, steadyNow())) {
+    if (!this->changeFeed.onListed(listing.items, listing.revision, listing.requestedAt, steadyNow())) {
         logEvent(LogLevel::info,
                  "store-list-outdated",
                  {{.key = "revision", .value = std::to_string(listing.revision)}, {.key = "known", .value = std::to_string(this->revision)}});
@@ -154,13 +156,32 @@
     }
     this->watchSuspended = false;
     this->storeCalls.add();
-    const Duration regularWait = this->changeFeed.hasSubscribers() ? this->options.relayWatchWait : this->options.watchWait;
-    const bool probes = this->consecutiveFailures > 0 || this->changeFeed.isUnconfirmed();
-    const Duration wait = probes ? PROBE_WATCH_WAIT : regularWait;
-    this->options.store.watch({}, this->revision, wait, [this](const Result<StoreEvents> &events) { this->onEvents(events); });
+    const PendingWatch pending{.requestedAt = steadyNow(), .wait = this->nextWatchWait()};
+    this->options.store.watch({}, this->revision, pending.wait, [this, pending](const Result<StoreEvents> &events) { this->onEvents(pending, events); });
 }
 
-void RouteControl::onEvents(const Result<StoreEvents> &result)
+Duration RouteControl::nextWatchWait() const
+{
+    if (this->consecutiveFailures > 0 || this->changeFeed.isUnconfirmed()) {
+        return PROBE_WATCH_WAIT;
+    }
+    if (!this->changeFeed.hasSubscribers()) {
+        return this->options.watchWait;
+    }
+    // Followers need a confirmation within each relay watch wait, also if events end a watch early.
+    const Instant confirmationDue = this->changeFeed.confirmedAt().value_or(steadyNow()) + this->options.relayWatchWait;
+    return std::clamp(confirmationDue - steadyNow(), std::min(PROBE_WATCH_WAIT, this->options.relayWatchWait), this->options.relayWatchWait);
+}
+
+/// Returns a time before which all changes are part of the answer. An answer without events was made after the wait, any other at some time
+/// after the request.
+static Instant watchCoversUntil(Instant requestedAt, Duration wait, const StoreEvents &answer)
+{
+    const bool waited = answer.events.empty() && steadyNow() - requestedAt >= wait;
+    return waited ? requestedAt + wait : requestedAt;
+}
+
+void RouteControl::onEvents(const PendingWatch &answered, const Result<StoreEvents> &result)
 {
     if (!result) {
         this->onStoreFailure(result.error(), result.error().code == Errc::historyGone);
@@ -168,7 +189,8 @@
     }
     this->onStoreResponse();
     const Instant now = steadyNow();
-    this->changeFeed.onStoreEvents(result->events, result->revision, this->registry.remainingRemovalGrace(now), now);
+    const Instant coveredUntil = watchCoversUntil(answered.requestedAt, answered.wait, *result);
+    this->changeFeed.onStoreEvents(result->events, result->revision, this->registry.remainingRemovalGrace(now), coveredUntil, now);
     this->applyEvents(result->events, result->revision);
     this->performChangeFeedActions();
     // Only a few instances are relays, so a relay uses the minimum pause.
--- a/lib/Wire/PeerCodec.cpp
+++ b/lib/Wire/PeerCodec.cpp
@@ -144,6 +144,8 @@
     array.append(static_cast<qint64>(digest.confirmedAge.count()));
     array.append(digest.offersSnapshot);
     array.append(digest.wantsSnapshot);
+    array.append(static_cast<qint64>(digest.madeAtUs));
+    array.append(static_cast<qint64>(digest.echoedUs));
     return array;
 }
 
@@ -347,13 +349,15 @@
                                       .level = static_cast<int>(array.at(3).toInteger()),
                                       .cold = array.at(4).toBool()});
     case PeerType::storeDigest:
-        // Earlier versions send no age and no snapshots.
+        // Earlier versions send the first three fields only.
         return PeerMessage(PeerStoreDigest{.revision = numberOf(array.at(1)),
                                            .distance = static_cast<int>(array.at(2).toInteger(STORE_UNREACHABLE)),
                                            .wantsEvents = array.at(3).toBool(),
                                            .confirmedAge = Duration(array.at(4).toInteger(AGE_UNKNOWN.count())),
                                            .offersSnapshot = array.at(5).toBool(),
-                                           .wantsSnapshot = array.at(6).toBool()});
+                                           .wantsSnapshot = array.at(6).toBool(),
+                                           .madeAtUs = array.at(7).toInteger(),
+                                           .echoedUs = array.at(8).toInteger()});
     case PeerType::storeEvents:
         // A truncated message must not be mistaken for one without events, which states that no key has changed.
         if (array.size() != STORE_EVENTS_FIELDS || !array.at(4).isArray()) {
--- a/unittests/Control/StoreChangeFeedTest.cpp
+++ b/unittests/Control/StoreChangeFeedTest.cpp
@@ -30,6 +30,14 @@
 /// An instance counts as reaching the store once it has done so for this time.
 constexpr Duration CONTACT_TIME = milliseconds(5000);
 
+/// A message on its way or in a socket's buffer.
+struct QueuedMessage
+{
+    std::string from;
+    SendStoreMessage send;
+    Instant due;
+};
+
 /// An instance as driven by its control thread: it watches the store unless a peer forwards all changes.
 struct FeedHarness
 {
@@ -45,7 +53,9 @@
     std::optional<Instant> silentSince;
     /// Neither runs nor replies. Messages to it are queued, as in a socket's buffer.
     bool frozen = false;
-    std::vector<std::pair<std::string, SendStoreMessage>> inbox;
+    std::vector<QueuedMessage> inbox;
+    /// The messages of this instance arrive late, because it or its link is slow.
+    Duration sendDelay{};
 };
 
 /// Links follow the instances' requests and deliver messages immediately. The store replies to a watch in each step.
@@ -81,7 +91,7 @@
             harness.applied.push_back(item.key);
         }
         harness.revision = this->storeRevision();
-        EXPECT_TRUE(harness.feed->onListed(this->store, harness.revision, this->now));
+        EXPECT_TRUE(harness.feed->onListed(this->store, harness.revision, this->now, this->now));
     }
 
     StoreRevision storeRevision() const
@@ -129,7 +139,7 @@
             if (harness == this->harnesses.end()) {
                 continue;
             }
-            std::erase_if(harness->second.inbox, [&peer = there](const auto &queued) { return queued.first == peer; });
+            std::erase_if(harness->second.inbox, [&peer = there](const auto &queued) { return queued.from == peer; });
             if (up) {
                 harness->second.feed->onLinkUp(there, this->now);
             } else {
@@ -188,16 +198,20 @@
             || this->deadSince.contains(std::minmax(from, send.peer))) {
             return;
         }
-        receiver->second.inbox.emplace_back(from, send);
+        receiver->second.inbox.push_back({.from = from, .send = send, .due = this->now + this->harnesses.at(from).sendDelay});
     }
 
     void readInbox(FeedHarness &harness)
     {
-        for (const auto &[from, send] : std::exchange(harness.inbox, {})) {
-            std::visit(Visitor{[&, &peer = from](const PeerStoreDigest &digest) { harness.feed->onDigest(peer, digest, this->now); },
-                               [&, &peer = from](const PeerStoreEvents &events) { harness.feed->onEvents(peer, events, this->now); },
-                               [&, &peer = from](const PeerStoreSnapshot &snapshot) { harness.feed->onSnapshot(peer, snapshot, this->now); }},
-                       send.message);
+        const auto isDue = [this](const QueuedMessage &queued) { return queued.due <= this->now; };
+        std::vector<QueuedMessage> arrived;
+        std::copy_if(harness.inbox.begin(), harness.inbox.end(), std::back_inserter(arrived), isDue);
+        std::erase_if(harness.inbox, isDue);
+        for (const QueuedMessage &queued : arrived) {
+            std::visit(Visitor{[&](const PeerStoreDigest &digest) { harness.feed->onDigest(queued.from, digest, this->now); },
+                               [&](const PeerStoreEvents &events) { harness.feed->onEvents(queued.from, events, this->now); },
+                               [&](const PeerStoreSnapshot &snapshot) { harness.feed->onSnapshot(queued.from, snapshot, this->now); }},
+                       queued.send.message);
         }
     }
 
@@ -230,7 +244,7 @@
             }
         }
         harness.revision = this->storeRevision();
-        harness.feed->onStoreEvents(events, harness.revision, Duration::zero(), this->now);
+        harness.feed->onStoreEvents(events, harness.revision, Duration::zero(), this->now, this->now);
     }
 
     void run(Duration time)
@@ -456,6 +470,25 @@
     }
 }
 
+/// Guards against a confirmed configuration that is late behind slow relays, whose messages arrive regularly and late.
+TEST_F(StoreChangeFeedTest, followersOfSlowRelaysApplyEachChangeInTime)
+{
+    this->addDomain("a", 6);
+    this->run(milliseconds(2000));
+    for (const std::string &relay : this->relaysIn("a")) {
+        this->harnesses.at(relay).sendDelay = APPLY_BOUND + milliseconds(1000);
+    }
+    Duration worst{};
+    for (int step = 0; step < 300; ++step) {
+        this->write("k" + std::to_string(step));
+        this->run(STEP);
+        for (const auto &[name, harness] : this->harnesses) {
+            worst = std::max(worst, this->oldestMissing(harness));
+        }
+    }
+    EXPECT_LE(worst, APPLY_BOUND);
+}
+
 /// Guards against a storm of messages: a relay that lost the store and a follower that reaches it chose each other as sources,
 /// gave each other up again, and so on, as fast as the network carried it.
 TEST_F(StoreChangeFeedTest, aRelayAndItsFollowerDoNotKeepChoosingEachOther)
@@ -533,7 +566,7 @@
     const StoreRevision listed = this->storeRevision();
     this->write("k1");
     this->run(milliseconds(200));
-    EXPECT_FALSE(follower->second.feed->onListed({}, listed, this->now));
+    EXPECT_FALSE(follower->second.feed->onListed({}, listed, this->now, this->now));
     this->write("k2");
     this->run(milliseconds(200));
     this->expectAllApplied("k1");
--- a/unittests/Wire/PeerCodecTest.cpp
+++ b/unittests/Wire/PeerCodecTest.cpp
@@ -57,13 +57,16 @@
     EXPECT_EQ(std::get<StoreItem>(read.events[0]).value, QByteArray("a\0b", 3));
     EXPECT_EQ(std::get<StoreDeletion>(read.events[1]).key, "k2");
 
-    const Result<PeerMessage> digest
-        = decodePeerMessage(encodePeerMessage(PeerStoreDigest{.revision = 12, .distance = 1, .wantsEvents = true, .confirmedAge = Duration(700)}), "peer");
+    const Result<PeerMessage> digest = decodePeerMessage(
+        encodePeerMessage(PeerStoreDigest{.revision = 12, .distance = 1, .wantsEvents = true, .confirmedAge = Duration(700), .madeAtUs = 5, .echoedUs = 6}),
+        "peer");
     ASSERT_TRUE(digest);
     EXPECT_EQ(std::get<PeerStoreDigest>(*digest).revision, 12U);
     EXPECT_EQ(std::get<PeerStoreDigest>(*digest).distance, 1);
     EXPECT_TRUE(std::get<PeerStoreDigest>(*digest).wantsEvents);
     EXPECT_EQ(std::get<PeerStoreDigest>(*digest).confirmedAge, Duration(700));
+    EXPECT_EQ(std::get<PeerStoreDigest>(*digest).madeAtUs, 5);
+    EXPECT_EQ(std::get<PeerStoreDigest>(*digest).echoedUs, 6);
 }
 
 TEST(PeerCodecTest, readsStoreDigestWithoutAge)
