Kernel: all instances together keep to the limit that a server names

Cause: no code read the header, and no part of the kernel knew a rate that holds for all instances together.

Change: the limit goes from the response into the server's record; each instance keeps the interval between its requests that follows from an equal share over the live instances and one more, with a random phase at the beginning. Hedges, retries and probes of the balance go through the same permit. A part whose usable servers all name limits fails at once if its turn comes too late; a query whose least share is out of reach is refused before anything is sent, with a time to come back that follows from the limits.

Why it works: the shares add up to at most the limit while no more instances live than the list and one say; the rule leaves half as much again.

Control, Kernel and Platform tests pass. No whole-path test: the fakes do not name limits yet.

--- a/include/ragwortcart/Kernel/KernelMessages.h
+++ b/include/ragwortcart/Kernel/KernelMessages.h
@@ -218,6 +218,11 @@
     shareOutOfReach,
     /// The error response of a server was returned to the caller.
     serverFailurePassed,
+    /// The server states a limit of the requests that it accepts from all instances together.
+    serverLimited,
+    serverLimitEnded,
+    /// All usable servers of a part limit their requests, and none accepts this one in time.
+    heldBackByServers,
     completed,
 };
 
--- a/include/ragwortcart/Kernel/QueryEngine.h
+++ b/include/ragwortcart/Kernel/QueryEngine.h
@@ -149,7 +149,17 @@
     ExtraLoadBudget &budgetOf(const ActiveQuery &query, const QueryPart &part);
     void armObjectiveTimer(ActiveQuery &query);
     void onForwardAnswered(const ForwardAnswered &event, Instant now);
-    static void recordReportedLoad(ServerRecord &server, const ForwardedAnswer &answer);
+    /// Records the load and the limit that a server states in its response. Without \p sentAt, the time of the attempt, a response that
+    /// states no limit does not end one.
+    void recordServerStatement(QueryId query, ServerRecord &server, const ForwardedAnswer &answer, std::optional<Instant> sentAt, Instant now);
+    /// Returns how long a part has to wait for its rate limited servers, or nothing if one of its usable servers states no limit or none is
+    /// usable.
+    std::optional<Duration> rateLimitedWait(const QueryPart &part, Instant now);
+    /// Returns whether a part of the query that has to wait for \p wait is answered too late.
+    bool isHeldBack(const ActiveQuery &query, Duration wait, Instant now);
+    /// Returns the time after which enough shards can be asked for the minimum share, if the servers hold back so many that it is out of reach
+    /// now, or nothing.
+    std::optional<Duration> minimumShareWait(const ActiveQuery &query, Instant now);
     /// Returns whether the budget allows an extra sub-request for \p part while leaving a reserve for queries that
     /// would fail without one.
     bool allowsExtraRequest(const ActiveQuery &query, const QueryPart &part, ExtraRequestPurpose purpose);
@@ -171,6 +181,8 @@
     /// Ejected and announced cold servers are usable only if there are no others, and servers whose connections are
     /// assigned to other instances only if there are none of these either. \p anyUsable receives whether there are
     /// usable replicas at all, with or without a free permit.
+    /// Returns the replicas to choose from, whether they have a permit or not.
+    std::vector<ServerPointer> usableReplicas(const QueryPart &part, Instant now);
     std::vector<ServerPointer> candidates(const ActiveQuery &query, const QueryPart &part, Instant now, bool &anyUsable);
     void armHedgeTimer(ActiveQuery &query, std::size_t partIndex, Instant now);
     void onHedgeDue(QueryId id, std::size_t partIndex, Instant now);
--- a/include/ragwortcart/Kernel/ServerRecord.h
+++ b/include/ragwortcart/Kernel/ServerRecord.h
@@ -123,12 +123,35 @@
         return now.time_since_epoch().count() < this->announcedColdUntilUs.load(std::memory_order_relaxed);
     }
 
-    /// Returns false if the server is announced as cold and the next request of this instance is not yet due.
+    /// Returns false if the server is announced as cold or limits its requests, and the next request of this instance is not yet due.
     bool mayStartRequest(Instant now) const
     {
-        return !this->isAnnouncedCold(now) || now.time_since_epoch().count() >= this->announcedColdNextRequestUs.load(std::memory_order_relaxed);
+        const bool coldRequestDue
+            = !this->isAnnouncedCold(now) || now.time_since_epoch().count() >= this->announcedColdNextRequestUs.load(std::memory_order_relaxed);
+        return coldRequestDue && (!this->isRateLimited() || now >= this->nextLimitedRequest());
     }
 
+    /// Returns whether the server states a limit of the requests that it accepts.
+    bool isRateLimited() const
+    {
+        return this->acceptedMilliRate.load(std::memory_order_relaxed) > 0;
+    }
+    /// Returns the minimum interval between two requests of this instance under the server's limit, which all instances share equally. The
+    /// server must be rate limited.
+    Duration limitedInterval() const;
+    /// Returns the earliest time of this instance's next request under the server's limit.
+    Instant nextLimitedRequest() const
+    {
+        return Instant(Duration(this->limitedNextRequestUs.load(std::memory_order_relaxed)));
+    }
+    /// Records that the server accepts \p requestsPerSecond from all instances together. The first request under a new limit is due after
+    /// \p phase of the interval, from 0 to 1, so that the instances do not all send at once. Returns true if the server stated no limit
+    /// before.
+    bool limitRate(double requestsPerSecond, double phase, Instant now);
+    /// Records that the response to a request sent at \p sentAt stated no limit. Returns true if that ends the limit: responses to requests
+    /// that are older than the statement do not.
+    bool endRateLimit(Instant sentAt);
+
     /// A combination of `Exclusion` bits; zero if the server is eligible.
     std::atomic<std::uint32_t> exclusions{0};
     /// True if the server is in another failure domain than this instance.
@@ -198,6 +221,14 @@
     /// Earliest time of this instance's next request while the server is announced as cold, in microseconds on the
     /// monotonic clock.
     std::atomic<std::int64_t> announcedColdNextRequestUs{0};
+    /// Requests per second that the server accepts from all instances together, in thousandths; zero if it states no limit.
+    std::atomic<std::int64_t> acceptedMilliRate{0};
+    /// Number of instances that share the accepted rate.
+    std::atomic<int> rateSharers{1};
+    /// Earliest time of this instance's next request under the limit, and the time of the last response that stated the limit, in
+    /// microseconds on the monotonic clock.
+    std::atomic<std::int64_t> limitedNextRequestUs{0};
+    std::atomic<std::int64_t> limitStatedAtUs{0};
     /// Number of requests sent and of failures, for the state dump.
     std::atomic<std::uint64_t> sent{0};
     std::atomic<std::uint64_t> failed{0};
--- a/include/ragwortcart/Model/ForwardedQuery.h
+++ b/include/ragwortcart/Model/ForwardedQuery.h
@@ -56,6 +56,8 @@
     /// Lets callers verify which server responded to which request.
     std::string signature;
     std::optional<ServerLoad> load;
+    /// Requests per second that the server accepts from all instances together. Nothing if the server states no limit.
+    std::optional<double> acceptedRate;
 
     bool success() const
     {
--- a/lib/Control/ServerRegistry.cpp
+++ b/lib/Control/ServerRegistry.cpp
@@ -209,6 +209,7 @@
     const int sharingInstances = this->liveInstances() + JOINING_INSTANCES;
     const int connections = service->second.connections;
     server.record->warmShare.store(std::max(1, connections / sharingInstances));
+    server.record->rateSharers.store(sharingInstances);
     server.record->connectionAssigned.store(connections >= sharingInstances || this->connectionRank(server) < connections * ASSIGNED_CONNECTIONS_PERCENT / 100);
     // The instances in a cold server's own failure domain share its capacity. The others send it no requests, unless
     // that domain has no instances.
--- a/lib/Kernel/AttemptSteps.cpp
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -14,9 +14,8 @@
 /// Polling interval of a single engine. Without an event, its permits become available only while a server warms up.
 static constexpr Duration SINGLE_ENGINE_PERMIT_CHECK_INTERVAL = std::chrono::milliseconds(25);
 
-std::vector<ServerPointer> QueryEngine::candidates(const ActiveQuery &query, const QueryPart &part, Instant now, bool &anyUsable)
+std::vector<ServerPointer> QueryEngine::usableReplicas(const QueryPart &part, Instant now)
 {
-    (void)query;
     const auto tried = [&part](const ServerPointer &server) {
         return std::any_of(part.attempts.begin(), part.attempts.end(), [&server](const PartAttempt &attempt) { return attempt.server == server; });
     };
@@ -43,6 +42,13 @@
     if (usable.empty()) {
         usable = std::move(unassigned);
     }
+    return usable;
+}
+
+std::vector<ServerPointer> QueryEngine::candidates(const ActiveQuery &query, const QueryPart &part, Instant now, bool &anyUsable)
+{
+    (void)query;
+    std::vector<ServerPointer> usable = this->usableReplicas(part, now);
     anyUsable = !usable.empty();
     std::erase_if(usable, [now](const ServerPointer &server) { return !server->hasPermit(now); });
     return usable;
@@ -67,6 +73,13 @@
         }
         available.erase(available.begin() + static_cast<std::ptrdiff_t>(chosen));
     }
+    if (const std::optional<Duration> wait = this->rateLimitedWait(part, now); wait && this->isHeldBack(query, *wait, now)) {
+        part.state = PartState::failed;
+        query.expectedWait = std::max(query.expectedWait, *wait);
+        this->report(Reason::heldBackByServers, query.request.id, part.service, "wait_us " + std::to_string(wait->count()));
+        this->continueAfterFailedPart(query, now);
+        return;
+    }
     this->waitForPermit(query, partIndex, now);
 }
 
@@ -361,7 +374,7 @@
         this->applyReport(*server, *event.report, now);
     }
     if (event.answer) {
-        recordReportedLoad(*server, *event.answer);
+        this->recordServerStatement(event.query, *server, *event.answer, std::nullopt, now);
     }
     const std::string status = event.answer ? " status " + std::to_string(event.answer->status) : std::string();
     this->report(Reason::attemptFailed, event.query, server->identity.id, std::string(toString(event.failure)) + status);
--- a/lib/Kernel/ForwardSteps.cpp
+++ b/lib/Kernel/ForwardSteps.cpp
@@ -9,15 +9,11 @@
 
 namespace ragwort {
 
-/// Time reserved for returning the response to the caller before the latency objective expires.
-static constexpr Duration OBJECTIVE_MARGIN = std::chrono::milliseconds(16);
 /// Fill ratio of the budget below which required parts are not hedged, so that credit is left for retries of failed
 /// ones.
 static constexpr double HEDGE_RESERVE = 0.25;
 /// Fill ratio of the budget below which optional parts get no extra sub-requests.
 static constexpr double OPTIONAL_PART_RESERVE = 0.5;
-/// Tolerance for rounding errors in comparisons of shares.
-static constexpr double SHARE_TOLERANCE = 1e-9;
 
 /// Selects a random service in proportion to the weights.
 static const std::string &chooseService(const ServiceChoice &choice, pcg32 &random)
@@ -74,6 +70,11 @@
                            this->armObjectiveTimer(query);
                        }},
                query.route->target);
+    if (const std::optional<Duration> wait = this->minimumShareWait(query, now)) {
+        query.expectedWait = *wait;
+        this->finishForward(query, Reason::heldBackByServers, now);
+        return;
+    }
     const QueryId id = query.request.id;
     for (std::size_t index = 0; index < query.parts.size(); ++index) {
         this->dispatch(query, index, now);
@@ -113,7 +114,7 @@
     const ServerPointer server = attempt.server;
     const Duration latency = now - attempt.sentAt;
     this->closeAttempt(attempt);
-    recordReportedLoad(*server, event.answer);
+    this->recordServerStatement(event.query, *server, event.answer, attempt.sentAt, now);
     this->recordSuccessfulAttempt(*query, *server, latency, false, now);
     this->cancelOpenAttempts(*query, part, now);
     part.state = PartState::done;
@@ -122,21 +123,15 @@
     this->dispatchWaiting(now);
 }
 
-void QueryEngine::recordReportedLoad(ServerRecord &server, const ForwardedAnswer &answer)
-{
-    if (answer.load) {
-        server.reportedLoad.store(answer.load->running + answer.load->waiting, std::memory_order_relaxed);
-    }
-}
-
 bool QueryEngine::mayAttempt(const ActiveQuery &query, const QueryPart &part)
 {
     return query.route == nullptr || part.possibleRuns < query.route->maximumAttempts;
 }
 
-/// Returns whether responses from \p shards of \p all shards reach the minimum share, which is the minimum coverage of
-/// the route.
-static bool meetsMinimumShare(const ActiveQuery &query, std::size_t shards, std::size_t all)
+/// Tolerance for rounding errors in comparisons of shares.
+static constexpr double SHARE_TOLERANCE = 1e-9;
+
+bool meetsMinimumShare(const ActiveQuery &query, std::size_t shards, std::size_t all)
 {
     return shards > 0 && static_cast<double>(shards) + SHARE_TOLERANCE >= query.kind->minimumCoverage * static_cast<double>(all);
 }
@@ -226,7 +221,7 @@
         answer.state = RunState::outcomeUnknown;
     } else {
         answer.state = RunState::notRun;
-        answer.retryAfter = this->retryAfterFor(query.request, Duration::zero());
+        answer.retryAfter = this->retryAfterFor(query.request, query.expectedWait);
     }
     answer.routesVersion = query.configuration->routes->version;
     answer.shardsAnswered = static_cast<int>(countParts(query, PartState::done));
--- a/lib/Kernel/KernelMessages.cpp
+++ b/lib/Kernel/KernelMessages.cpp
@@ -78,6 +78,12 @@
         return "share-out-of-reach";
     case Reason::serverFailurePassed:
         return "server-failure-passed";
+    case Reason::serverLimited:
+        return "server-limited";
+    case Reason::serverLimitEnded:
+        return "server-limit-ended";
+    case Reason::heldBackByServers:
+        return "held-back-by-servers";
     case Reason::completed:
         return "ok";
     }
--- a/lib/Kernel/QueryState.h
+++ b/lib/Kernel/QueryState.h
@@ -16,6 +16,8 @@
 
 /// Time before the deadline that is reserved for returning the response to the caller.
 inline constexpr Duration REPLY_MARGIN = std::chrono::milliseconds(4);
+/// Time reserved for returning the response to the caller before the latency objective expires.
+inline constexpr Duration OBJECTIVE_MARGIN = std::chrono::milliseconds(16);
 
 /// Minimum retry delay for a caller whose query cannot be served.
 inline constexpr Duration MINIMUM_RETRY_AFTER = std::chrono::seconds(1);
@@ -115,6 +117,8 @@
     TimerId objectiveTimer = 0;
     /// The latency objective has expired; a forwarded request finishes as soon as the minimum share is reached.
     bool pastObjective = false;
+    /// Time after which the servers that held a part back accept it.
+    Duration expectedWait{};
     /// The last error response of a server; returned to the caller if no attempt succeeds.
     std::optional<ForwardedAnswer> serverFailure;
     AttemptId lastAttempt = 0;
@@ -168,6 +172,9 @@
     void applyPolicies(const BackendGroup &group);
 };
 
+/// Returns whether responses from \p shards of \p all shards reach the minimum share, which is the minimum coverage of the route.
+bool meetsMinimumShare(const ActiveQuery &query, std::size_t shards, std::size_t all);
+
 } // namespace ragwort
 
 #endif
--- a/lib/Kernel/ServerRecord.cpp
+++ b/lib/Kernel/ServerRecord.cpp
@@ -11,6 +11,9 @@
 static constexpr std::int64_t LATENCY_AVERAGE_DIVISOR = 8;
 /// Divisor of the moving average of failures.
 static constexpr int FAILURE_AVERAGE_DIVISOR = 6;
+/// A server that accepts less is still asked at this rate, in thousandths of a request per second, to learn when the limit ends.
+static constexpr std::int64_t MINIMUM_ACCEPTED_MILLI_RATE = 200;
+static constexpr std::int64_t MILLI_PER_UNIT = 1000;
 
 void ServerRecord::setExclusion(Exclusion exclusion, bool present)
 {
@@ -49,6 +52,9 @@
     while (current < this->limit(now)) {
         if (this->inFlight.compare_exchange_weak(current, current + 1, std::memory_order_acq_rel)) {
             this->sent.fetch_add(1, std::memory_order_relaxed);
+            if (this->isRateLimited()) {
+                this->limitedNextRequestUs.store((now + this->limitedInterval()).time_since_epoch().count(), std::memory_order_relaxed);
+            }
             if (this->isAnnouncedCold(now)) {
                 this->announcedColdNextRequestUs.store(now.time_since_epoch().count() + this->announcedColdIntervalUs.load(std::memory_order_relaxed),
                                                        std::memory_order_relaxed);
@@ -59,6 +65,32 @@
     return false;
 }
 
+Duration ServerRecord::limitedInterval() const
+{
+    const std::int64_t milliRate = this->acceptedMilliRate.load(std::memory_order_relaxed);
+    assert(milliRate > 0 && "the server is rate limited");
+    const Duration unit = std::chrono::seconds(1);
+    return unit * MILLI_PER_UNIT * this->rateSharers.load(std::memory_order_relaxed) / milliRate;
+}
+
+bool ServerRecord::limitRate(double requestsPerSecond, double phase, Instant now)
+{
+    const auto milliRate = std::max(static_cast<std::int64_t>(requestsPerSecond * MILLI_PER_UNIT), MINIMUM_ACCEPTED_MILLI_RATE);
+    this->limitStatedAtUs.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+    const bool begins = this->acceptedMilliRate.exchange(milliRate, std::memory_order_relaxed) == 0;
+    if (begins) {
+        const auto firstDelay = Duration(static_cast<std::int64_t>(static_cast<double>(this->limitedInterval().count()) * phase));
+        this->limitedNextRequestUs.store((now + firstDelay).time_since_epoch().count(), std::memory_order_relaxed);
+    }
+    return begins;
+}
+
+bool ServerRecord::endRateLimit(Instant sentAt)
+{
+    const bool outdated = sentAt.time_since_epoch().count() <= this->limitStatedAtUs.load(std::memory_order_relaxed);
+    return !outdated && this->acceptedMilliRate.exchange(0, std::memory_order_relaxed) > 0;
+}
+
 void ServerRecord::release()
 {
     const int before = this->inFlight.fetch_sub(1, std::memory_order_acq_rel);
--- a/lib/Runtime/Worker.cpp
+++ b/lib/Runtime/Worker.cpp
@@ -321,6 +321,9 @@
     case Reason::objectiveReached:
     case Reason::refusedOverload:
     case Reason::attemptTimedOut:
+    case Reason::serverLimited:
+    case Reason::serverLimitEnded:
+    case Reason::heldBackByServers:
         return true;
     default:
         return false;
--- a/unittests/Control/ServerRegistryTest.cpp
+++ b/unittests/Control/ServerRegistryTest.cpp
@@ -107,6 +107,25 @@
     }
 }
 
+TEST_F(ServerRegistryTest, allInstancesAndOneMoreShareTheRequestsThatAServerAccepts)
+{
+    this->routes.services["x"] = {.connections = 12};
+    for (const char *name : {"i1", "i2", "i3", "i4", "i5"}) {
+        this->registry.setInstance({.name = name, .domain = "a"});
+    }
+    this->registry.set(entry("s"), this->now);
+    const ServerPointer server = this->find("s");
+    const int live = this->registry.liveInstances();
+    EXPECT_EQ(server->rateSharers, live + 1);
+    // A limit that was stated before the list changed is divided anew.
+    server->limitRate(10.0, 0.0, this->now);
+    const Duration before = server->limitedInterval();
+    this->registry.setInstance({.name = "i6", .domain = "b"});
+    this->find("s");
+    EXPECT_EQ(server->rateSharers, live + 2);
+    EXPECT_GT(server->limitedInterval(), before);
+}
+
 TEST_F(ServerRegistryTest, replacingTheInstanceListRemovesMissingInstances)
 {
     this->registry.setInstance({.name = "i2", .domain = "a"});
--- a/unittests/Platform/HttpProtocolsTest.cpp
+++ b/unittests/Platform/HttpProtocolsTest.cpp
@@ -113,6 +113,34 @@
     EXPECT_EQ(failureOf(this->decode(500, {stamp, echo})), SubFailure::serverError);
 }
 
+TEST_F(HttpProtocolsTest, readsTheLimitThatAServerStates)
+{
+    const HeaderField stamp{.name = "X-Server-Stamp", .value = "s"};
+    const HeaderField echo{.name = "X-Request-Id", .value = "id1"};
+    const auto limitIn = [&](const std::string &value) {
+        return std::get<ForwardedAnswer>(this->decode(200, {stamp, echo, {.name = "Server-Limit", .value = value}})).acceptedRate;
+    };
+    EXPECT_EQ(limitIn("30"), 30.0);
+    EXPECT_EQ(limitIn("13.4"), 13.4);
+    EXPECT_EQ(limitIn("0"), 0.0);
+    for (const char *unreadable : {"", "-1", "nan", "inf", "1e3", "99999999", "30 per second", " 30"}) {
+        EXPECT_EQ(limitIn(unreadable), std::nullopt) << unreadable;
+    }
+    EXPECT_EQ(std::get<ForwardedAnswer>(this->decode(200, {stamp, echo})).acceptedRate, std::nullopt);
+    // A rejected request states it as well.
+    const auto rejected = this->decode(503, {{.name = "X-Not-Run", .value = "1"}, {.name = "Server-Limit", .value = "2.5"}});
+    EXPECT_EQ(std::get<SubFailureReport>(rejected).answer->acceptedRate, 2.5);
+}
+
+TEST_F(HttpProtocolsTest, keepsTheLimitOfAServerFromCallers)
+{
+    Answer answer{.state = RunState::ran};
+    answer.forwarded = ForwardedAnswer{.status = 200, .headers = {{.name = "Server-Limit", .value = "30"}, {.name = "X-Other", .value = "1"}}};
+    const HttpResponse response = this->callers.encode(answer, {});
+    ASSERT_EQ(response.headers.size(), 1U);
+    EXPECT_EQ(response.headers[0].name, "X-Other");
+}
+
 TEST_F(HttpProtocolsTest, treatsRequestAsNotRunOnlyOnExplicitServerStatement)
 {
     EXPECT_TRUE(provesNotRun(failureOf(this->decode(503, {{.name = "X-Not-Run", .value = "1"}}))));
