Wire: a connect timeout does not end a request that has been sent

Cause: when an instance gets to its event loop late, a connection and its connect timeout are ready together. The connection's handler writes the request and cancels the timer, but the timer's handler is queued already and runs with success: it ended the attempt as connect-failed, which stands for "no byte was sent", so that the request was sent elsewhere without a charge to any budget. Class of fault: a cancelled Asio timer whose handler is queued still runs.

In the new test, where the loop is held for twice the timeout, 20 of 20 attempts reported as not sent had been received by the server.

Change: the timeout does nothing once the connection is established. The other timer of this class checks its state already.

Why it works: whether bytes may have left is decided by the state at the moment of the timeout, not by the order in which handlers were queued.

The new test fails before (received 21, at most 1 expected) and passes now. Wire tests pass.

--- a/lib/Wire/BackendClient.cpp
+++ b/lib/Wire/BackendClient.cpp
@@ -136,7 +136,12 @@
             this->fail(SubFailure::connectFailed);
             return;
         }
-        this->armTimer(this->core.options.connectTimeout, [](Connection &self) { self.fail(SubFailure::connectFailed); });
+        this->armTimer(this->core.options.connectTimeout, [](Connection &self) {
+            // The connection may have been established just before the timer fired, in which case the request has been sent.
+            if (!self.established) {
+                self.fail(SubFailure::connectFailed);
+            }
+        });
         this->socket.async_connect(*endpoint, [self = this->shared_from_this()](const ErrorCode &error) {
             if (self->closed) {
                 return;
--- a/unittests/Wire/BackendClientTest.cpp
+++ b/unittests/Wire/BackendClientTest.cpp
@@ -285,4 +285,30 @@
     EXPECT_EQ(status->serverId, "s");
 }
 
+/// Guards against a request that runs although its attempt is reported as never sent: on a slow instance the connection and its timeout
+/// were ready at the same time, and the timeout ended the attempt after the request had been written. Such a request was sent again, also if
+/// it may run only once.
+TEST_F(BackendClientTest, connectTimeoutDoesNotEndARequestThatHasBeenSent)
+{
+    static constexpr Duration CONNECT_TIMEOUT = std::chrono::milliseconds(5);
+    static constexpr int ROUNDS = 20;
+    int reportedAsNotSent = 0;
+    for (int round = 0; round < ROUNDS; ++round) {
+        std::promise<SubOutcome> promise;
+        const SubRequest sub = this->request("ok");
+        this->thread.loop.post([&] {
+            this->client = std::make_unique<BackendClient>(this->thread.loop, BackendClient::Options{.connectTimeout = CONNECT_TIMEOUT});
+            this->client->send(sub, {.maximumConnections = 1}, [&promise](SubOutcome outcome) { promise.set_value(std::move(outcome)); });
+            // The loop handles the connection and its timeout only after both.
+            std::this_thread::sleep_for(CONNECT_TIMEOUT * 2);
+        });
+        const SubOutcome outcome = promise.get_future().get();
+        const auto *failure = std::get_if<SubFailureReport>(&outcome);
+        reportedAsNotSent += failure != nullptr && failure->failure == SubFailure::connectFailed ? 1 : 0;
+    }
+    // Lets the server read what has been sent.
+    EXPECT_EQ(this->exchange("ok").index(), 0U);
+    EXPECT_LE(this->received, ROUNDS - reportedAsNotSent + 1);
+}
+
 } // namespace ragwort
