Wire: a timeout that has been replaced no longer ends a request

What callers would see: an answer 408, which promises that the request has not run, to a request that runs all the same; or a connection closed on a request that has just arrived.

Cause: the callers' server ends a request or an idle connection by one timer. If the last byte, or the first one, and the timeout are ready together because the loop is late, the read's handler replaces or cancels the timer whose handler is queued and runs all the same; and a request whose last read was complete when it was rejected was handed on after the rejection.

Change: each timeout carries a number, and one that is no longer the pending one does nothing; reads that end after a rejection are ignored.

Evidence: with the loop held for twice the timeout the two new tests fail before (one request handed on and answered 408; a connection closed without an answer) and pass now, three runs of three. Wire tests pass.

--- a/lib/Wire/HttpServer.cpp
+++ b/lib/Wire/HttpServer.cpp
@@ -148,16 +148,24 @@
 private:
     using Parser = http::request_parser<http::string_body>;
 
+    /// Replaces the pending timeout, if there is one. A replaced or cancelled timeout does nothing, also if it has just expired and its
+    /// handler is queued already.
     void armTimer(Duration delay, void (Session::*onTimeout)())
     {
         this->timer.expires_after(delay);
-        this->timer.async_wait([self = this->shared_from_this(), onTimeout](const ErrorCode &error) {
-            if (!error && !self->closed) {
+        this->timer.async_wait([self = this->shared_from_this(), onTimeout, generation = ++this->timerGeneration](const ErrorCode &error) {
+            if (!error && !self->closed && generation == self->timerGeneration) {
                 (self.get()->*onTimeout)();
             }
         });
     }
 
+    void cancelTimer()
+    {
+        ++this->timerGeneration;
+        this->timer.cancel();
+    }
+
     void waitForRequest()
     {
         this->busy = false;
@@ -190,7 +198,7 @@
         this->busy = true;
         this->armTimer(this->core->requestLimits.requestTimeout, &Session::onRequestTimeout);
         http::async_read_header(this->socket, this->buffer, *this->parser, [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
-            if (!self->closed) {
+            if (!self->closed && !self->rejected) {
                 self->onHeader(error);
             }
         });
@@ -222,7 +230,7 @@
     {
         auto response = std::make_shared<http::response<http::empty_body>>(http::status::continue_, 11);
         http::async_write(this->socket, *response, [self = this->shared_from_this(), response](const ErrorCode &error, std::size_t) {
-            if (self->closed) {
+            if (self->closed || self->rejected) {
                 return;
             }
             if (error) {
@@ -236,7 +244,7 @@
     void readBody()
     {
         http::async_read(this->socket, this->buffer, *this->parser, [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
-            if (self->closed) {
+            if (self->closed || self->rejected) {
                 return;
             }
             if (error) {
@@ -271,6 +279,7 @@
     {
         ++this->core->counts.badRequests;
         this->responded = true;
+        this->rejected = true;
         // Pending reads must not complete while the response is being written.
         ErrorCode ignored;
         this->socket.cancel(ignored);
@@ -375,6 +384,10 @@
     std::shared_ptr<HttpServer::Core> core;
     Tcp::socket socket;
     asio::steady_timer timer;
+    /// Identifies the pending timeout.
+    std::uint64_t timerGeneration = 0;
+    /// The connection ends with the rejection of a request. Reads that were complete before are ignored.
+    bool rejected = false;
     std::string address;
     const std::uint64_t connectionNumber;
     boost::beast::flat_buffer buffer;
@@ -423,7 +436,7 @@
 
 void Session::dispatchRequest()
 {
-    this->timer.cancel();
+    this->cancelTimer();
     ++this->core->counts.requests;
     ++this->exchangeNumber;
     this->responded = false;
--- a/unittests/Wire/HttpServerTest.cpp
+++ b/unittests/Wire/HttpServerTest.cpp
@@ -43,6 +43,22 @@
         return socket.readAll();
     }
 
+    /// Holds the server's loop for \p time and performs \p action meanwhile.
+    void holdLoopWhile(Duration time, const std::function<void()> &action)
+    {
+        std::promise<void> held;
+        std::promise<void> acted;
+        this->thread.loop.post([&held, &acted, time] {
+            held.set_value();
+            std::this_thread::sleep_for(time);
+            acted.get_future().wait();
+        });
+        held.get_future().wait();
+        action();
+        acted.set_value();
+        this->thread.call([] { return 0; });
+    }
+
     HttpServerCounts counts()
     {
         return this->thread.call([this] { return this->server->counts(); });
@@ -215,4 +231,38 @@
     EXPECT_EQ(socket.readAll().find("two"), std::string::npos);
 }
 
+/// Guards against a request that is answered "not complete in time" and runs all the same: on a slow instance its last byte and its
+/// timeout were ready at the same time, and both took effect.
+TEST_F(HttpServerTest, aRequestThatTimedOutIsNotHandedOn)
+{
+    static constexpr Duration REQUEST_TIMEOUT = std::chrono::milliseconds(50);
+    this->start({.requestLimits = {.requestTimeout = REQUEST_TIMEOUT}});
+    const RawSocket socket(this->port);
+    socket.send("GET /hold HTTP/1.1\r\nHost: h\r\n");
+    ASSERT_TRUE(eventually([this] { return this->counts().connections == 1; }));
+    this->holdLoopWhile(REQUEST_TIMEOUT * 2, [&socket] { socket.send("Connection: close\r\n\r\n"); });
+    ASSERT_TRUE(eventually([this] { return this->heldCount == 1 || this->counts().badRequests == 1; }));
+    this->thread.call([this] {
+        for (const std::shared_ptr<HttpExchange> &exchange : this->held) {
+            exchange->respond({.status = 200, .headers = {}, .body = "done"});
+        }
+        return 0;
+    });
+    const std::string answer = socket.readAll();
+    const bool rejected = answer.starts_with("HTTP/1.1 408");
+    EXPECT_TRUE(rejected || answer.starts_with("HTTP/1.1 200")) << answer;
+    EXPECT_EQ(this->heldCount, rejected ? 0 : 1) << answer;
+}
+
+/// The same for a request that begins just as the idle connection expires.
+TEST_F(HttpServerTest, idleTimeoutDoesNotCloseAConnectionWithARequest)
+{
+    static constexpr Duration IDLE_TIMEOUT = std::chrono::milliseconds(50);
+    this->start({.requestLimits = {.idleTimeout = IDLE_TIMEOUT}});
+    const RawSocket socket(this->port);
+    ASSERT_TRUE(eventually([this] { return this->counts().connections == 1; }));
+    this->holdLoopWhile(IDLE_TIMEOUT * 2, [&socket] { socket.send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"); });
+    EXPECT_TRUE(socket.readAll().starts_with("HTTP/1.1 200"));
+}
+
 } // namespace ragwort
