Kernel: a higher limit of a server brings the next request forward

What callers would see: an instance that goes on refusing, or sending elsewhere, for minutes after a server has raised its limit: the next request was due by the interval of the former limit (60 instances at 0.5 a second: two minutes).

Cause: a new limit set the interval and left the request that was due. Now it is due at the latest one new interval after the statement. The new test fails before: the request at 101 s was refused. Kernel tests pass.

--- a/lib/Kernel/ServerRecord.cpp
+++ b/lib/Kernel/ServerRecord.cpp
@@ -78,10 +78,11 @@
     const auto milliRate = std::max(static_cast<std::int64_t>(requestsPerSecond * MILLI_PER_UNIT), MINIMUM_ACCEPTED_MILLI_RATE);
     this->limitStatedAtUs.store(now.time_since_epoch().count(), std::memory_order_relaxed);
     const bool begins = this->acceptedMilliRate.exchange(milliRate, std::memory_order_relaxed) == 0;
-    if (begins) {
-        const auto firstDelay = Duration(static_cast<std::int64_t>(static_cast<double>(this->limitedInterval().count()) * phase));
-        this->limitedNextRequestUs.store((now + firstDelay).time_since_epoch().count(), std::memory_order_relaxed);
-    }
+    const Duration interval = this->limitedInterval();
+    // Under a higher rate the request that is due under the previous one may be too far ahead.
+    const Instant previouslyDue = begins ? Instant::max() : this->nextLimitedRequest();
+    const Instant latestDue = now + (begins ? Duration(static_cast<std::int64_t>(static_cast<double>(interval.count()) * phase)) : interval);
+    this->limitedNextRequestUs.store(std::min(previouslyDue, latestDue).time_since_epoch().count(), std::memory_order_relaxed);
     return begins;
 }
 
--- a/unittests/Kernel/RateLimitTest.cpp
+++ b/unittests/Kernel/RateLimitTest.cpp
@@ -208,6 +208,21 @@
     EXPECT_FALSE(server.isRateLimited());
 }
 
+/// Guards against an instance that waits for minutes under a limit that the server has raised since.
+TEST(ServerRecordTest, aHigherLimitBringsTheNextRequestForward)
+{
+    ServerRecord server({.id = "a"});
+    server.warmShare = 8;
+    server.rateSharers = 60;
+    const Instant now{std::chrono::seconds(100)};
+    server.limitRate(0.5, 0.0, now);
+    EXPECT_TRUE(server.tryAcquire(now));
+    EXPECT_FALSE(server.tryAcquire(now + std::chrono::seconds(100)));
+    server.limitRate(60.0, 0.0, now + std::chrono::seconds(100));
+    EXPECT_FALSE(server.tryAcquire(now + std::chrono::seconds(100)));
+    EXPECT_TRUE(server.tryAcquire(now + std::chrono::seconds(101)));
+}
+
 /// A server that accepts nothing is still asked now and then, or the end of its limit would never be seen.
 TEST(ServerRecordTest, aLimitOfZeroLeavesARequestNowAndThen)
 {
