Kernel: a server that asks for a pause or says that it leaves gets no new requests

A leaving server was asked on until its entry said so, also while the store was down, and a server whose entry lapsed and came back unchanged got a new record that knew nothing of what the server had said. A server that rejected requests was asked again as soon as its permits allowed.

Change: what a server says of itself is one value, ServerStatement, read from every response, late ones to cancelled requests included. A pause extends the mechanism of the limits: no permit until its end, a random quarter longer, then one request at a time and one more with each that is served; parts whose servers all hold back wait only if they are still in time, a query that cannot reach its least share is refused before anything is sent, with the servers' own time. A leaving server is excluded for good; records outlive their entries by ten minutes and are used again by the same process. Connections to a leaving server are closed when idle. Unfinished response bodies of an instance are bounded by 16 MiB together, and the first read of a connection takes a whole usual response.

--- a/include/ragwortcart/Control/ServerRegistry.h
+++ b/include/ragwortcart/Control/ServerRegistry.h
@@ -81,6 +81,20 @@
         std::optional<Instant> expiresAt;
     };
 
+    /// A server whose entry has gone. It may come back, also unchanged, and is then still what its record says.
+    struct FormerServer
+    {
+        ServerEntry entry;
+        ServerPointer record;
+        Instant removedAt{};
+    };
+
+    /// Returns whether both entries describe the same server process with the same properties.
+    static bool sameProcess(const ServerEntry &left, const ServerEntry &right);
+    /// Returns the record for a new or changed entry of a server: the former one of the same process, or a new one.
+    ServerPointer makeRecord(const ServerEntry &entry, const Server &previous);
+    /// Excludes a server whose entry has gone and keeps its record for `FORMER_SERVER_LIFETIME`.
+    void retire(const Server &server, Instant now);
     void updateExclusions(const Server &server) const;
     void updateShare(const Server &server, const RouteTable &routes) const;
     /// If the connections of a service's servers are scarce, ranks the replicas, those in the own failure domain first,
@@ -92,6 +106,8 @@
 
     Options options;
     std::map<std::string, Server> servers;
+    /// By id. Invariant: contains no server of `servers`.
+    std::map<std::string, FormerServer> formerServers;
     std::set<std::string> domainsOutOfService;
     /// Failure domain by instance name.
     std::map<std::string, std::string> instances;
--- a/include/ragwortcart/Kernel/KernelMessages.h
+++ b/include/ragwortcart/Kernel/KernelMessages.h
@@ -57,6 +57,8 @@
     AttemptId attempt = 0;
     /// The server sent a late response.
     bool answered = false;
+    /// What the server stated with the late response to a forwarded request.
+    std::optional<ServerStatement> statement;
 };
 
 enum class ClaimVerdict {
@@ -221,7 +223,13 @@
     /// The server states a limit of the requests that it accepts from all instances together.
     serverLimited,
     serverLimitEnded,
-    /// All usable servers of a part limit their requests, and none accepts this one in time.
+    /// The server rejected a request and states for how long it wants no others from this instance.
+    serverPaused,
+    /// The server has served a request after such a pause.
+    serverPauseEnded,
+    /// The server states that it is about to leave.
+    serverLeaving,
+    /// All usable servers of a part limit their requests or have asked for a pause, and none accepts this one in time.
     heldBackByServers,
     completed,
 };
--- a/include/ragwortcart/Kernel/QueryEngine.h
+++ b/include/ragwortcart/Kernel/QueryEngine.h
@@ -149,12 +149,19 @@
     ExtraLoadBudget &budgetOf(const ActiveQuery &query, const QueryPart &part);
     void armObjectiveTimer(ActiveQuery &query);
     void onForwardAnswered(const ForwardAnswered &event, Instant now);
-    /// Records the load and the limit that a server states in its response. Without \p sentAt, the time of the attempt, a response that
-    /// states no limit does not end one.
-    void recordServerStatement(QueryId query, ServerRecord &server, const ForwardedAnswer &answer, std::optional<Instant> sentAt, Instant now);
-    /// Returns how long a part has to wait for its rate limited servers, or nothing if one of its usable servers states no limit or none is
-    /// usable.
-    std::optional<Duration> rateLimitedWait(const QueryPart &part, Instant now);
+    /// Records what a server states in its response. Without \p sentAt, the time of the attempt, a response that states no limit does not
+    /// end one.
+    void recordServerStatement(QueryId query, ServerRecord &server, const ServerStatement &statement, std::optional<Instant> sentAt, Instant now);
+    /// Returns a random fraction, uniform from 0 to 1.
+    double randomFraction();
+    /// Returns how long a part has to wait for its servers, all of which hold this instance back, or nothing if one of its usable servers does
+    /// not or none is usable.
+    std::optional<Duration> heldBackWait(const QueryPart &part, Instant now);
+    /// Fails a part that has to wait too long for its servers, and returns whether it did.
+    bool failIfHeldBack(ActiveQuery &query, QueryPart &part, Instant now);
+    /// Returns the time after which the first server of \p part accepts a request, whether the part has tried it or not, if all hold this
+    /// instance back; otherwise zero.
+    static Duration statedWait(const QueryPart &part, Instant now);
     /// Returns whether a part of the query that has to wait for \p wait is answered too late.
     bool isHeldBack(const ActiveQuery &query, Duration wait, Instant now);
     /// Returns the time after which enough shards can be asked for the minimum share, if the servers hold back so many that it is out of reach
@@ -172,15 +179,16 @@
     // Attempts (AttemptSteps.cpp).
     /// Returns the open attempt that a response belongs to. If there is none, the attempt was cancelled: the response
     /// is dropped, and the permit that the attempt may still hold is released.
-    std::optional<AttemptPosition> findAnsweredAttempt(QueryId id, AttemptId attempt, Instant now);
+    std::optional<AttemptPosition> findAnsweredAttempt(QueryId id, AttemptId attempt, const std::optional<ServerStatement> &statement, Instant now);
     /// Returns the position of the open attempt \p id, if there is one.
     static std::optional<AttemptPosition> findOpenAttempt(const ActiveQuery &query, AttemptId id);
     void dispatch(ActiveQuery &query, std::size_t partIndex, Instant now);
     bool sendAttempt(ActiveQuery &query, std::size_t partIndex, const ServerPointer &server, bool hedge, Instant now);
     /// Returns the usable replicas of \p part that have a free permit. Servers that the part has tried are left out.
-    /// Ejected and announced cold servers are usable only if there are no others, and servers whose connections are
-    /// assigned to other instances only if there are none of these either. \p anyUsable receives whether there are
-    /// usable replicas at all, with or without a free permit.
+    /// Ejected and announced cold servers are usable only if there are no others, servers whose connections are
+    /// assigned to other instances only if there are none of these either, and servers that have asked for a pause, which
+    /// have no permit, only if nothing else is left. \p anyUsable receives whether there are usable replicas at all, with
+    /// or without a free permit.
     /// Returns the replicas to choose from, whether they have a permit or not.
     std::vector<ServerPointer> usableReplicas(const QueryPart &part, Instant now);
     std::vector<ServerPointer> candidates(const ActiveQuery &query, const QueryPart &part, Instant now, bool &anyUsable);
--- a/include/ragwortcart/Kernel/ServerRecord.h
+++ b/include/ragwortcart/Kernel/ServerRecord.h
@@ -53,6 +53,8 @@
         staleConfiguration = 1U << 4,
         /// The server is no longer registered, or its address belongs to another server.
         gone = 1U << 5,
+        /// The server has stated in a response that it is about to leave. Never taken back: only another process stays.
+        statedLeaving = 1U << 6,
     };
 
     bool isExcluded() const
@@ -123,14 +125,42 @@
         return now.time_since_epoch().count() < this->announcedColdUntilUs.load(std::memory_order_relaxed);
     }
 
-    /// Returns false if the server is announced as cold or limits its requests, and the next request of this instance is not yet due.
+    /// Returns false if the server is announced as cold or holds this instance back, and the next request is not yet due.
     bool mayStartRequest(Instant now) const
     {
         const bool coldRequestDue
             = !this->isAnnouncedCold(now) || now.time_since_epoch().count() >= this->announcedColdNextRequestUs.load(std::memory_order_relaxed);
-        return coldRequestDue && (!this->isRateLimited() || now >= this->nextLimitedRequest());
+        return coldRequestDue && !this->isPaused(now) && (!this->isRateLimited() || now >= this->nextLimitedRequest());
     }
 
+    /// Returns whether the server has asked for a pause that has not ended.
+    bool isPaused(Instant now) const
+    {
+        return now < this->pauseEnd();
+    }
+    /// Returns the time until which the server wants no requests from this instance.
+    Instant pauseEnd() const
+    {
+        return Instant(Duration(this->pausedUntilUs.load(std::memory_order_relaxed)));
+    }
+    /// Records that the server wants no requests from this instance for \p pause. This instance waits up to `RESUME_SPREAD` of \p pause
+    /// longer, in proportion to \p phase (0 to 1), so that the instances do not all return at once. Returns true if the server had not
+    /// asked for a pause before, or has served requests since.
+    bool startPause(Duration pause, double phase, Instant now);
+    /// Records that the server has served a request after a pause, which raises the number of permits by one. Returns true if it is the first
+    /// one.
+    bool recordServedAfterPause(Instant now);
+    /// Takes over what \p previous, another record of the same server process, states.
+    void inheritStatement(const ServerRecord &previous);
+
+    /// Returns whether the server states a limit or a pause that may delay this instance's requests.
+    bool holdsBack(Instant now) const
+    {
+        return this->isRateLimited() || this->isPaused(now);
+    }
+    /// Returns the earliest time of this instance's next request under the limit and the pause that the server states.
+    Instant nextAcceptedRequest() const;
+
     /// Returns whether the server states a limit of the requests that it accepts.
     bool isRateLimited() const
     {
@@ -229,6 +259,12 @@
     /// microseconds on the monotonic clock.
     std::atomic<std::int64_t> limitedNextRequestUs{0};
     std::atomic<std::int64_t> limitStatedAtUs{0};
+    /// End of the pause that the server asked for, in microseconds on the monotonic clock; zero if it asked for none.
+    std::atomic<std::int64_t> pausedUntilUs{0};
+    /// Limit of the permits after a pause, raised by one with each request served; zero if it no longer applies.
+    std::atomic<int> resumePermits{0};
+    /// The server has asked for a pause and has served no request after it.
+    std::atomic<bool> pauseStated{false};
     /// Number of requests sent and of failures, for the state dump.
     std::atomic<std::uint64_t> sent{0};
     std::atomic<std::uint64_t> failed{0};
--- a/include/ragwortcart/Model/ForwardedQuery.h
+++ b/include/ragwortcart/Model/ForwardedQuery.h
@@ -47,6 +47,18 @@
     int slots = 0;
 };
 
+/// What a server states about itself in the headers of a response, whatever the response is.
+struct ServerStatement
+{
+    std::optional<ServerLoad> load;
+    /// Requests per second that the server accepts from all instances together. Nothing if the server states no limit.
+    std::optional<double> acceptedRate;
+    /// The server is about to leave and accepts no new requests.
+    bool leaving = false;
+    /// The time for which the server wants no requests from this instance. Stated with the rejection of a request only.
+    std::optional<Duration> requestedPause;
+};
+
 /// The complete response of one server, with its signature.
 struct ForwardedAnswer
 {
@@ -55,9 +67,7 @@
     std::string body;
     /// Lets callers verify which server responded to which request.
     std::string signature;
-    std::optional<ServerLoad> load;
-    /// Requests per second that the server accepts from all instances together. Nothing if the server states no limit.
-    std::optional<double> acceptedRate;
+    ServerStatement statement;
 
     bool success() const
     {
--- a/include/ragwortcart/Wire/BackendProtocol.h
+++ b/include/ragwortcart/Wire/BackendProtocol.h
@@ -30,6 +30,8 @@
 {
     /// The server responded despite the cancellation.
     bool answered = false;
+    /// What the server stated with that response, if it was a response to a forwarded request.
+    std::optional<ServerStatement> statement;
 };
 
 /// How a sub-request ended.
@@ -77,6 +79,9 @@
 /// Returns the default protocol, JSON over HTTP.
 const BackendProtocol &jsonBackendProtocol();
 
+/// Returns what a server stated with its response to a forwarded request, or null if \p outcome holds no such response.
+const ServerStatement *statementOf(const SubOutcome &outcome);
+
 /// Compares two header names, ignoring case.
 bool equalHeaderNames(std::string_view left, std::string_view right);
 
--- a/lib/Control/ServerRegistry.cpp
+++ b/lib/Control/ServerRegistry.cpp
@@ -25,6 +25,8 @@
 /// leave room for instances that restart while the servers still hold the connections of their previous processes. All
 /// are closed if there are connections for fewer than half of the instances, which then have to take turns.
 static constexpr Duration SCARCE_IDLE_TIMEOUT = std::chrono::seconds(1);
+/// How long the record of a server is kept after its entry has gone: much longer than a leaving server serves on.
+static constexpr Duration FORMER_SERVER_LIFETIME = std::chrono::minutes(10);
 /// Headroom for instances that start before the others know about them.
 static constexpr int JOINING_INSTANCES = 1;
 
@@ -32,24 +34,56 @@
 {
 }
 
+bool ServerRegistry::sameProcess(const ServerEntry &left, const ServerEntry &right)
+{
+    return left.startedMs == right.startedMs && left.address == right.address && left.service == right.service && left.domain == right.domain
+        && left.slots == right.slots;
+}
+
+ServerPointer ServerRegistry::makeRecord(const ServerEntry &entry, const Server &previous)
+{
+    const auto former = this->formerServers.find(entry.id);
+    ServerPointer known = previous.record;
+    std::int64_t knownStartedMs = previous.entry.startedMs;
+    if (former != this->formerServers.end()) {
+        known = former->second.record;
+        knownStartedMs = former->second.entry.startedMs;
+        const bool same = sameProcess(entry, former->second.entry);
+        this->formerServers.erase(former);
+        if (same) {
+            known->setExclusion(ServerRecord::gone, false);
+            return known;
+        }
+    }
+    auto record = std::make_shared<ServerRecord>(ServerIdentity{
+        .id = entry.id, .address = entry.address, .team = {}, .group = {}, .service = entry.service, .domain = entry.domain, .slots = entry.slots});
+    record->inOtherDomain.store(entry.domain != this->options.domain);
+    if (known && knownStartedMs == entry.startedMs) {
+        record->inheritStatement(*known);
+    }
+    return record;
+}
+
+void ServerRegistry::retire(const Server &server, Instant now)
+{
+    server.record->setExclusion(ServerRecord::gone, true);
+    std::erase_if(this->formerServers, [now](const auto &each) { return now - each.second.removedAt > FORMER_SERVER_LIFETIME; });
+    this->formerServers[server.entry.id] = {.entry = server.entry, .record = server.record, .removedAt = now};
+}
+
 bool ServerRegistry::set(const ServerEntry &entry, Instant now)
 {
     Server &server = this->servers[entry.id];
-    const bool same = server.record && !server.expiresAt && server.entry.startedMs == entry.startedMs && server.entry.draining == entry.draining
-        && server.entry.address == entry.address && server.entry.service == entry.service && server.entry.domain == entry.domain
-        && server.entry.slots == entry.slots && entry.warmUpLeft == Duration::zero();
-    if (same) {
+    const bool knownProcess = server.record && sameProcess(server.entry, entry);
+    if (knownProcess && !server.expiresAt && server.entry.draining == entry.draining && entry.warmUpLeft == Duration::zero()) {
         return false;
     }
-    const bool sameProcess = server.record && server.entry.startedMs == entry.startedMs && server.entry.address == entry.address
-        && server.entry.service == entry.service && server.entry.domain == entry.domain && server.entry.slots == entry.slots;
-    if (!sameProcess) {
+    if (!knownProcess) {
+        const ServerPointer next = this->makeRecord(entry, server);
         if (server.record) {
             server.record->setExclusion(ServerRecord::gone, true);
         }
-        server.record = std::make_shared<ServerRecord>(ServerIdentity{
-            .id = entry.id, .address = entry.address, .team = {}, .group = {}, .service = entry.service, .domain = entry.domain, .slots = entry.slots});
-        server.record->inOtherDomain.store(entry.domain != this->options.domain);
+        server.record = next;
     }
     server.entry = entry;
     server.expiresAt.reset();
@@ -70,7 +104,7 @@
         found->second.expiresAt = this->graceEnd;
         return false;
     }
-    found->second.record->setExclusion(ServerRecord::gone, true);
+    this->retire(found->second, now);
     this->servers.erase(found);
     return true;
 }
@@ -143,12 +177,12 @@
 bool ServerRegistry::dropExpired(Instant now)
 {
     const std::size_t before = this->servers.size();
-    std::erase_if(this->servers, [now](const auto &each) {
+    std::erase_if(this->servers, [this, now](const auto &each) {
         const Server &server = each.second;
         if (!server.expiresAt || now < *server.expiresAt) {
             return false;
         }
-        server.record->setExclusion(ServerRecord::gone, true);
+        this->retire(server, now);
         return true;
     });
     return this->servers.size() != before;
--- a/lib/Kernel/AttemptSteps.cpp
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -22,12 +22,17 @@
     std::vector<ServerPointer> usable;
     std::vector<ServerPointer> avoided;
     std::vector<ServerPointer> unassigned;
+    std::vector<ServerPointer> paused;
     const bool crossDomains = this->topology.get()->mayCrossDomains(now);
     for (const ServerPointer &server : part.replicas) {
         const bool outsideAllowedDomains = server->inOtherDomain.load(std::memory_order_relaxed) && !crossDomains;
         if (server->isExcluded() || outsideAllowedDomains || tried(server)) {
             continue;
         }
+        if (server->isPaused(now)) {
+            paused.push_back(server);
+            continue;
+        }
         const bool isAvoided = server->isEjected(now) || server->isAnnouncedCold(now);
         if (!server->connectionAssigned.load(std::memory_order_relaxed)) {
             unassigned.push_back(server);
@@ -42,6 +47,9 @@
     if (usable.empty()) {
         usable = std::move(unassigned);
     }
+    if (usable.empty()) {
+        usable = std::move(paused);
+    }
     return usable;
 }
 
@@ -73,10 +81,7 @@
         }
         available.erase(available.begin() + static_cast<std::ptrdiff_t>(chosen));
     }
-    if (const std::optional<Duration> wait = this->rateLimitedWait(part, now); wait && this->isHeldBack(query, *wait, now)) {
-        part.state = PartState::failed;
-        query.expectedWait = std::max(query.expectedWait, *wait);
-        this->report(Reason::heldBackByServers, query.request.id, part.service, "wait_us " + std::to_string(wait->count()));
+    if (query.route != nullptr && this->failIfHeldBack(query, part, now)) {
         this->continueAfterFailedPart(query, now);
         return;
     }
@@ -241,6 +246,9 @@
     if (event.answered) {
         found->second->recordResponseSeen();
     }
+    if (event.statement) {
+        this->recordServerStatement(event.query, *found->second, *event.statement, std::nullopt, now);
+    }
     this->cancelling.erase(found);
     this->dispatchWaiting(now);
 }
@@ -268,12 +276,13 @@
     return std::nullopt;
 }
 
-std::optional<QueryEngine::AttemptPosition> QueryEngine::findAnsweredAttempt(QueryId id, AttemptId attempt, Instant now)
+std::optional<QueryEngine::AttemptPosition>
+QueryEngine::findAnsweredAttempt(QueryId id, AttemptId attempt, const std::optional<ServerStatement> &statement, Instant now)
 {
     const ActiveQuery *query = this->find(id);
     const std::optional<AttemptPosition> found = query == nullptr ? std::nullopt : findOpenAttempt(*query, attempt);
     if (!found) {
-        this->onSubRequestEnded({.query = id, .attempt = attempt, .answered = true}, now);
+        this->onSubRequestEnded({.query = id, .attempt = attempt, .answered = true, .statement = statement}, now);
         this->report(Reason::lateAnswerDropped, id);
     }
     return found;
@@ -281,7 +290,7 @@
 
 void QueryEngine::onSubRequestAnswered(const SubRequestAnswered &event, Instant now)
 {
-    const std::optional<AttemptPosition> found = this->findAnsweredAttempt(event.query, event.attempt, now);
+    const std::optional<AttemptPosition> found = this->findAnsweredAttempt(event.query, event.attempt, std::nullopt, now);
     if (!found) {
         return;
     }
@@ -358,7 +367,8 @@
     ActiveQuery *query = this->find(event.query);
     const std::optional<AttemptPosition> found = query == nullptr ? std::nullopt : findOpenAttempt(*query, event.attempt);
     if (!found) {
-        this->onSubRequestEnded({.query = event.query, .attempt = event.attempt}, now);
+        const std::optional<ServerStatement> statement = event.answer ? std::optional(event.answer->statement) : std::nullopt;
+        this->onSubRequestEnded({.query = event.query, .attempt = event.attempt, .answered = event.answer.has_value(), .statement = statement}, now);
         return;
     }
     PartAttempt &attempt = query->parts[found->part].attempts[found->attempt];
@@ -374,7 +384,7 @@
         this->applyReport(*server, *event.report, now);
     }
     if (event.answer) {
-        this->recordServerStatement(event.query, *server, *event.answer, std::nullopt, now);
+        this->recordServerStatement(event.query, *server, event.answer->statement, std::nullopt, now);
     }
     const std::string status = event.answer ? " status " + std::to_string(event.answer->status) : std::string();
     this->report(Reason::attemptFailed, event.query, server->identity.id, std::string(toString(event.failure)) + status);
@@ -427,6 +437,10 @@
         part.state = PartState::inFlight;
         return;
     }
+    if (query.route != nullptr && this->failIfHeldBack(query, part, now)) {
+        this->continueAfterFailedPart(query, now);
+        return;
+    }
     GroupState &state = this->groupState(query.key);
     const RetryContext context{
         .failure = failure, .partAttempts = static_cast<int>(part.attempts.size()), .urgency = query.kind->urgency, .timeLeft = query.timeLeft(now)};
@@ -445,6 +459,7 @@
         return;
     }
     part.state = PartState::failed;
+    query.expectedWait = std::max(query.expectedWait, statedWait(part, now));
     this->report(anyUsable ? Reason::retryBudgetSpent : Reason::noReplica, query.request.id);
     this->continueAfterFailedPart(query, now);
 }
--- a/lib/Kernel/ForwardSteps.cpp
+++ b/lib/Kernel/ForwardSteps.cpp
@@ -97,7 +97,7 @@
 
 void QueryEngine::onForwardAnswered(const ForwardAnswered &event, Instant now)
 {
-    const std::optional<AttemptPosition> found = this->findAnsweredAttempt(event.query, event.attempt, now);
+    const std::optional<AttemptPosition> found = this->findAnsweredAttempt(event.query, event.attempt, event.answer.statement, now);
     if (!found) {
         return;
     }
@@ -114,7 +114,7 @@
     const ServerPointer server = attempt.server;
     const Duration latency = now - attempt.sentAt;
     this->closeAttempt(attempt);
-    this->recordServerStatement(event.query, *server, event.answer, attempt.sentAt, now);
+    this->recordServerStatement(event.query, *server, event.answer.statement, attempt.sentAt, now);
     this->recordSuccessfulAttempt(*query, *server, latency, false, now);
     this->cancelOpenAttempts(*query, part, now);
     part.state = PartState::done;
--- a/lib/Kernel/KernelMessages.cpp
+++ b/lib/Kernel/KernelMessages.cpp
@@ -82,6 +82,12 @@
         return "server-limited";
     case Reason::serverLimitEnded:
         return "server-limit-ended";
+    case Reason::serverPaused:
+        return "server-paused";
+    case Reason::serverPauseEnded:
+        return "server-pause-ended";
+    case Reason::serverLeaving:
+        return "server-leaving";
     case Reason::heldBackByServers:
         return "held-back-by-servers";
     case Reason::completed:
--- a/lib/Kernel/RateLimitSteps.cpp
+++ b/lib/Kernel/RateLimitSteps.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// Steps for servers that limit the requests that they accept from all instances together: recording a limit, and the decision that a part
-/// or a query cannot be served in time under the limits of its servers.
+/// Steps for servers that hold instances back: they limit the requests that they accept from all instances together, ask one instance for a
+/// pause, or are about to leave. Records what they state and decides whether a part or a query can still be served in time.
 #include "QueryState.h"
 #include "ragwortcart/Kernel/QueryEngine.h"
 
@@ -9,39 +9,56 @@
 
 namespace ragwort {
 
-void QueryEngine::recordServerStatement(QueryId query, ServerRecord &server, const ForwardedAnswer &answer, std::optional<Instant> sentAt, Instant now)
+double QueryEngine::randomFraction()
 {
-    if (answer.load) {
-        server.reportedLoad.store(answer.load->running + answer.load->waiting, std::memory_order_relaxed);
+    // The generator is uniform in [0, 2^32).
+    return static_cast<double>(this->random()) / 4294967296.0;
+}
+
+void QueryEngine::recordServerStatement(QueryId query, ServerRecord &server, const ServerStatement &statement, std::optional<Instant> sentAt, Instant now)
+{
+    if (statement.load) {
+        server.reportedLoad.store(statement.load->running + statement.load->waiting, std::memory_order_relaxed);
+    }
+    if (statement.leaving && (server.exclusions.load(std::memory_order_acquire) & ServerRecord::statedLeaving) == 0) {
+        server.setExclusion(ServerRecord::statedLeaving, true);
+        this->report(Reason::serverLeaving, query, server.identity.id, "service " + server.identity.service + " domain " + server.identity.domain);
     }
-    if (!answer.acceptedRate) {
+    if (statement.requestedPause && server.startPause(*statement.requestedPause, this->randomFraction(), now)) {
+        this->report(Reason::serverPaused, query, server.identity.id, "pause_ms " + std::to_string(toMs(*statement.requestedPause)));
+    }
+    if (!statement.acceptedRate) {
         if (sentAt && server.endRateLimit(*sentAt)) {
             this->report(Reason::serverLimitEnded, query, server.identity.id);
         }
         return;
     }
-    // The generator is uniform in [0, 2^32).
-    const double phase = static_cast<double>(this->random()) / 4294967296.0;
-    if (server.limitRate(*answer.acceptedRate, phase, now)) {
+    if (server.limitRate(*statement.acceptedRate, this->randomFraction(), now)) {
         this->report(Reason::serverLimited,
                      query,
                      server.identity.id,
-                     "per_s " + std::to_string(*answer.acceptedRate) + " sharers " + std::to_string(server.rateSharers.load(std::memory_order_relaxed)));
+                     "per_s " + std::to_string(*statement.acceptedRate) + " sharers " + std::to_string(server.rateSharers.load(std::memory_order_relaxed)));
     }
 }
 
-std::optional<Duration> QueryEngine::rateLimitedWait(const QueryPart &part, Instant now)
+/// Returns how many requests per microsecond the server accepts from this instance. A server that states no limit is taken to accept one.
+static double acceptedPerUs(const ServerRecord &server)
+{
+    return server.isRateLimited() ? 1.0 / static_cast<double>(std::max<std::int64_t>(server.limitedInterval().count(), 1)) : 1.0;
+}
+
+std::optional<Duration> QueryEngine::heldBackWait(const QueryPart &part, Instant now)
 {
     const std::vector<ServerPointer> usable = this->usableReplicas(part, now);
-    const auto limited = [](const ServerPointer &server) { return server->isRateLimited(); };
-    if (usable.empty() || !std::all_of(usable.begin(), usable.end(), limited)) {
+    const auto holdsBack = [now](const ServerPointer &server) { return server->holdsBack(now); };
+    if (usable.empty() || !std::all_of(usable.begin(), usable.end(), holdsBack)) {
         return std::nullopt;
     }
     Instant earliest = Instant::max();
     double requestsPerUs = 0.0;
     for (const ServerPointer &server : usable) {
-        earliest = std::min(earliest, server->nextLimitedRequest());
-        requestsPerUs += 1.0 / static_cast<double>(std::max<std::int64_t>(server->limitedInterval().count(), 1));
+        earliest = std::min(earliest, server->nextAcceptedRequest());
+        requestsPerUs += acceptedPerUs(*server);
     }
     const auto ahead = std::count_if(this->waitingParts.begin(), this->waitingParts.end(), [this, &part](const auto &waiting) {
         const ActiveQuery *query = this->find(waiting.first);
@@ -51,6 +68,29 @@
     return untilEarliest + Duration(static_cast<std::int64_t>(static_cast<double>(ahead) / requestsPerUs));
 }
 
+bool QueryEngine::failIfHeldBack(ActiveQuery &query, QueryPart &part, Instant now)
+{
+    const std::optional<Duration> wait = this->heldBackWait(part, now);
+    if (!wait || !this->isHeldBack(query, *wait, now)) {
+        return false;
+    }
+    part.state = PartState::failed;
+    query.expectedWait = std::max(query.expectedWait, *wait);
+    this->report(Reason::heldBackByServers, query.request.id, part.service, "wait_us " + std::to_string(wait->count()));
+    return true;
+}
+
+Duration QueryEngine::statedWait(const QueryPart &part, Instant now)
+{
+    Instant earliest = Instant::max();
+    for (const ServerPointer &server : part.replicas) {
+        if (!server->isExcluded()) {
+            earliest = std::min(earliest, server->holdsBack(now) ? server->nextAcceptedRequest() : now);
+        }
+    }
+    return earliest == Instant::max() ? Duration::zero() : std::max(earliest - now, Duration::zero());
+}
+
 bool QueryEngine::isHeldBack(const ActiveQuery &query, Duration wait, Instant now)
 {
     assert(query.route != nullptr && "only servers of routes state limits");
@@ -65,7 +105,7 @@
 std::optional<Duration> QueryEngine::minimumShareWait(const ActiveQuery &query, Instant now)
 {
     const auto held = [this, &query, now](const QueryPart &part) -> std::optional<Duration> {
-        const std::optional<Duration> wait = this->rateLimitedWait(part, now);
+        const std::optional<Duration> wait = this->heldBackWait(part, now);
         return wait && this->isHeldBack(query, *wait, now) ? wait : std::nullopt;
     };
     std::vector<Duration> waits;
--- a/lib/Kernel/ServerHealth.cpp
+++ b/lib/Kernel/ServerHealth.cpp
@@ -81,6 +81,9 @@
     server.consecutiveFailures.store(0, std::memory_order_relaxed);
     server.recordResponseSeen();
     server.recordServed(true, now);
+    if (server.recordServedAfterPause(now)) {
+        this->report(Reason::serverPauseEnded, query.request.id, server.identity.id, "over_ms " + std::to_string(toMs(now - server.pauseEnd())));
+    }
     server.recordLatency(latency, now);
     server.recordAttemptEnd(this->isBadLatency(query, server, latency));
     GroupState &state = this->groupState(query.key);
--- a/lib/Kernel/ServerRecord.cpp
+++ b/lib/Kernel/ServerRecord.cpp
@@ -14,6 +14,8 @@
 /// A server that accepts less is still asked at this rate, in thousandths of a request per second, to learn when the limit ends.
 static constexpr std::int64_t MINIMUM_ACCEPTED_MILLI_RATE = 200;
 static constexpr std::int64_t MILLI_PER_UNIT = 1000;
+/// Part of a pause by which an instance may return later than the server asks.
+static constexpr double RESUME_SPREAD = 0.25;
 
 void ServerRecord::setExclusion(Exclusion exclusion, bool present)
 {
@@ -26,7 +28,9 @@
 
 int ServerRecord::limit(Instant now) const
 {
-    const int warm = this->warmShare.load(std::memory_order_relaxed);
+    const int resume = this->resumePermits.load(std::memory_order_relaxed);
+    const int share = this->warmShare.load(std::memory_order_relaxed);
+    const int warm = resume > 0 ? std::min(share, resume) : share;
     const std::int64_t confirmed = this->confirmedAtUs.load(std::memory_order_relaxed);
     const bool unconfirmed = confirmed != 0 && now - Instant(Duration(confirmed)) > CONFIRMATION_LIFETIME;
     if (!unconfirmed && !this->cold.load(std::memory_order_acquire) && !this->coldSuspected.load(std::memory_order_acquire)) {
@@ -92,6 +96,40 @@
     return !outdated && this->acceptedMilliRate.exchange(0, std::memory_order_relaxed) > 0;
 }
 
+bool ServerRecord::startPause(Duration pause, double phase, Instant now)
+{
+    const auto delay = Duration(static_cast<std::int64_t>(static_cast<double>(pause.count()) * RESUME_SPREAD * phase));
+    const std::int64_t until = (now + pause + delay).time_since_epoch().count();
+    std::int64_t current = this->pausedUntilUs.load(std::memory_order_relaxed);
+    while (current < until && !this->pausedUntilUs.compare_exchange_weak(current, until, std::memory_order_relaxed)) { }
+    this->resumePermits.store(1, std::memory_order_relaxed);
+    return !this->pauseStated.exchange(true, std::memory_order_relaxed);
+}
+
+bool ServerRecord::recordServedAfterPause(Instant now)
+{
+    const int permits = this->resumePermits.load(std::memory_order_relaxed);
+    if (permits == 0 || this->isPaused(now)) {
+        return false;
+    }
+    const bool ended = permits >= this->warmShare.load(std::memory_order_relaxed);
+    this->resumePermits.store(ended ? 0 : permits + 1, std::memory_order_relaxed);
+    return this->pauseStated.exchange(false, std::memory_order_relaxed);
+}
+
+void ServerRecord::inheritStatement(const ServerRecord &previous)
+{
+    this->setExclusion(statedLeaving, (previous.exclusions.load(std::memory_order_acquire) & statedLeaving) != 0);
+    this->pausedUntilUs.store(previous.pausedUntilUs.load(std::memory_order_relaxed), std::memory_order_relaxed);
+    this->resumePermits.store(previous.resumePermits.load(std::memory_order_relaxed), std::memory_order_relaxed);
+    this->pauseStated.store(previous.pauseStated.load(std::memory_order_relaxed), std::memory_order_relaxed);
+}
+
+Instant ServerRecord::nextAcceptedRequest() const
+{
+    return this->isRateLimited() ? std::max(this->nextLimitedRequest(), this->pauseEnd()) : this->pauseEnd();
+}
+
 void ServerRecord::release()
 {
     const int before = this->inFlight.fetch_sub(1, std::memory_order_acq_rel);
--- a/lib/Runtime/Worker.cpp
+++ b/lib/Runtime/Worker.cpp
@@ -234,7 +234,7 @@
                 return;
             }
             if (const auto *cancelled = std::get_if<SubCancelled>(&outcome)) {
-                this->postEvent(SubRequestEnded{.query = query, .attempt = attempt, .answered = cancelled->answered});
+                this->postEvent(SubRequestEnded{.query = query, .attempt = attempt, .answered = cancelled->answered, .statement = cancelled->statement});
                 return;
             }
             if (auto *answer = std::get_if<ForwardedAnswer>(&outcome)) {
@@ -323,6 +323,9 @@
     case Reason::attemptTimedOut:
     case Reason::serverLimited:
     case Reason::serverLimitEnded:
+    case Reason::serverPaused:
+    case Reason::serverPauseEnded:
+    case Reason::serverLeaving:
     case Reason::heldBackByServers:
         return true;
     default:
--- a/lib/Wire/BackendClient.cpp
+++ b/lib/Wire/BackendClient.cpp
@@ -23,6 +23,10 @@
 using ErrorCode = boost::system::error_code;
 
 static constexpr std::size_t MAXIMUM_RESPONSE_BYTES = 4 * 1024 * 1024;
+/// Limit for the bodies of all unfinished responses together, which bounds the memory if many servers send bodies without end.
+static constexpr std::size_t MAXIMUM_UNFINISHED_BYTES = 16 * 1024 * 1024;
+/// Initial size of a connection's receive buffer: a response of usual size fits, so that one read suffices.
+static constexpr std::size_t RECEIVE_BUFFER_BYTES = 2048;
 /// Minimum delay before the next sweep, which closes all expired idle connections together. They are closed at most this late.
 static constexpr Duration IDLE_SWEEP_DELAY = std::chrono::milliseconds(250);
 
@@ -99,6 +103,8 @@
     BackendClientCounts counts;
     /// The connection of each request that has been assigned one. Cancelled requests are removed at once.
     std::unordered_map<AttemptKey, ConnectionPointer, AttemptKeyHash> running;
+    /// Bytes of the bodies of all unfinished responses.
+    std::size_t unfinishedBytes = 0;
 
 private:
     ServerPool &poolFor(const std::string &address);
@@ -124,6 +130,7 @@
     Connection(BackendClient::Core &owner, ServerPool &serverPool)
         : core(owner), pool(serverPool), socket(owner.loop.implementation().context), timer(owner.loop.implementation().context)
     {
+        this->buffer.reserve(RECEIVE_BUFFER_BYTES);
     }
 
     /// Establishes the connection and sends its first request.
@@ -205,6 +212,7 @@
         this->timer.cancel();
         ErrorCode ignored;
         this->socket.close(ignored);
+        this->countUnfinishedBytes(0);
         this->core.remove(this->shared_from_this());
         if (this->abandoned && this->current.completion) {
             std::exchange(this->current.completion, nullptr)(SubCancelled{});
@@ -263,7 +271,14 @@
         this->parser->body_limit(MAXIMUM_RESPONSE_BYTES);
         // A response to HEAD has no body, regardless of its Content-Length.
         this->parser->skip(this->request.method() == http::verb::head);
-        http::async_read(this->socket, this->buffer, *this->parser, [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
+        // Without it, a read ends after the head of the response.
+        this->parser->eager(true);
+        this->readMore();
+    }
+
+    void readMore()
+    {
+        http::async_read_some(this->socket, this->buffer, *this->parser, [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
             if (self->closed) {
                 return;
             }
@@ -271,19 +286,38 @@
                 self->failAfterSend();
                 return;
             }
-            self->onResponse();
+            if (self->parser->is_done()) {
+                self->countUnfinishedBytes(0);
+                self->onResponse();
+                return;
+            }
+            self->countUnfinishedBytes(self->parser->get().body().size());
+            if (self->core.unfinishedBytes > MAXIMUM_UNFINISHED_BYTES) {
+                self->failAfterSend();
+                return;
+            }
+            self->readMore();
         });
     }
 
+    /// Updates the total of the client for this connection's unfinished response of \p bytes.
+    void countUnfinishedBytes(std::size_t bytes)
+    {
+        this->core.unfinishedBytes += bytes - this->unfinishedBytes;
+        this->unfinishedBytes = bytes;
+    }
+
     void onResponse()
     {
         auto &message = this->parser->get();
         bool reusable = message.keep_alive() && this->buffer.size() == 0;
-        SubOutcome outcome = SubCancelled{.answered = true};
-        if (!this->abandoned) {
-            outcome = this->decodeResponse(message);
-            const auto *failure = std::get_if<SubFailureReport>(&outcome);
-            reusable = reusable && (failure == nullptr || failure->failure != SubFailure::protocol);
+        SubOutcome outcome = this->decodeResponse(message);
+        const auto *failure = std::get_if<SubFailureReport>(&outcome);
+        const ServerStatement *statement = statementOf(outcome);
+        const bool leaving = statement != nullptr && statement->leaving;
+        reusable = reusable && !leaving && (failure == nullptr || failure->failure != SubFailure::protocol);
+        if (this->abandoned) {
+            outcome = SubCancelled{.answered = true, .statement = statement != nullptr ? std::optional(*statement) : std::nullopt};
         }
         const BackendClient::Completion completion = std::exchange(this->current.completion, nullptr);
         this->core.running.erase(this->current.key);
@@ -295,6 +329,9 @@
         } else {
             this->close();
         }
+        if (leaving) {
+            this->core.closeIdle(this->pool);
+        }
         if (completion) {
             completion(std::move(outcome));
         }
@@ -356,6 +393,8 @@
     boost::beast::flat_buffer buffer;
     http::request<http::string_body> request;
     std::optional<http::response_parser<http::string_body>> parser;
+    /// This connection's share of `Core::unfinishedBytes`.
+    std::size_t unfinishedBytes = 0;
     /// Set before the first request is written. Until then, no byte has been sent.
     bool established = false;
     bool abandoned = false;
--- a/lib/Wire/BackendProtocol.cpp
+++ b/lib/Wire/BackendProtocol.cpp
@@ -25,6 +25,15 @@
     return std::nullopt;
 }
 
+const ServerStatement *statementOf(const SubOutcome &outcome)
+{
+    if (const auto *answer = std::get_if<ForwardedAnswer>(&outcome)) {
+        return &answer->statement;
+    }
+    const auto *failure = std::get_if<SubFailureReport>(&outcome);
+    return failure != nullptr && failure->answer ? &failure->answer->statement : nullptr;
+}
+
 namespace {
 
 class JsonBackendProtocol final : public BackendProtocol
--- a/unittests/Control/ServerRegistryTest.cpp
+++ b/unittests/Control/ServerRegistryTest.cpp
@@ -85,6 +85,46 @@
     EXPECT_EQ(this->find("s")->meanLatencyUs(), 0);
 }
 
+/// Guards against new work for a server that leaves: its entry lapses with an outage of the store and comes back unchanged.
+TEST_F(ServerRegistryTest, aServerThatToldThatItLeavesStaysExcludedWhenItsEntryComesBack)
+{
+    this->registry.set(entry("s"), this->now);
+    this->find("s")->setExclusion(ServerRecord::statedLeaving, true);
+    EXPECT_TRUE(this->registry.remove("s", this->now));
+    this->registry.set(entry("s"), this->now + seconds(20));
+    EXPECT_TRUE(this->find("s")->isExcluded());
+    ServerEntry changed = entry("s");
+    changed.slots = 3;
+    this->registry.set(changed, this->now + seconds(21));
+    EXPECT_TRUE(this->find("s")->isExcluded());
+}
+
+TEST_F(ServerRegistryTest, aPauseOutlivesTheEntryOfAServer)
+{
+    this->registry.set(entry("s"), this->now);
+    this->find("s")->startPause(seconds(30), 0.0, this->now);
+    EXPECT_TRUE(this->registry.remove("s", this->now));
+    this->registry.set(entry("s"), this->now + seconds(2));
+    EXPECT_TRUE(this->find("s")->isPaused(this->now + seconds(29)));
+}
+
+TEST_F(ServerRegistryTest, aServerThatReturnsServesAgainAndANewProcessDoesNotLeave)
+{
+    this->registry.set(entry("s"), this->now);
+    EXPECT_TRUE(this->registry.remove("s", this->now));
+    this->registry.set(entry("s"), this->now + seconds(1));
+    EXPECT_FALSE(this->find("s")->isExcluded());
+    this->find("s")->setExclusion(ServerRecord::statedLeaving, true);
+    ServerEntry restarted = entry("s");
+    restarted.startedMs = 6;
+    EXPECT_TRUE(this->registry.remove("s", this->now + seconds(2)));
+    this->registry.set(restarted, this->now + seconds(3));
+    EXPECT_FALSE(this->find("s")->isExcluded());
+    // Another process at the address of a leaving one.
+    this->registry.set(entry("t"), this->now + seconds(4));
+    EXPECT_FALSE(this->find("t")->isExcluded());
+}
+
 TEST_F(ServerRegistryTest, aDomainTakenOutReceivesNoNewWorkUntilRestored)
 {
     this->registry.set(entry("s", "b"), this->now);
--- a/unittests/Kernel/RateLimitTest.cpp
+++ b/unittests/Kernel/RateLimitTest.cpp
@@ -69,7 +69,7 @@
             running.pop_front();
             ForwardedAnswer answer = RouteHarness::answerTo(request);
             if (const auto limit = this->limits.find(request.serverId); limit != this->limits.end()) {
-                answer.acceptedRate = limit->second;
+                answer.statement.acceptedRate = limit->second;
             }
             harness.handle(ForwardAnswered{.query = request.query, .attempt = request.attempt, .answer = answer});
         }
--- a/unittests/Kernel/RouteHarness.h
+++ b/unittests/Kernel/RouteHarness.h
@@ -129,7 +129,7 @@
     /// Returns the response of a healthy server to \p request.
     static ForwardedAnswer answerTo(const SubRequest &request, const std::string &body = std::string(16, 'r'))
     {
-        return {.status = 200, .headers = {}, .body = body, .signature = "sig-" + request.serverId, .load = std::nullopt, .acceptedRate = std::nullopt};
+        return {.status = 200, .headers = {}, .body = body, .signature = "sig-" + request.serverId, .statement = {}};
     }
 
     void answer(const SubRequest &request)
--- a/unittests/Platform/HttpProtocolsTest.cpp
+++ b/unittests/Platform/HttpProtocolsTest.cpp
@@ -118,7 +118,7 @@
     const HeaderField stamp{.name = "X-Server-Stamp", .value = "s"};
     const HeaderField echo{.name = "X-Request-Id", .value = "id1"};
     const auto limitIn = [&](const std::string &value) {
-        return std::get<ForwardedAnswer>(this->decode(200, {stamp, echo, {.name = "Server-Limit", .value = value}})).acceptedRate;
+        return std::get<ForwardedAnswer>(this->decode(200, {stamp, echo, {.name = "Server-Limit", .value = value}})).statement.acceptedRate;
     };
     EXPECT_EQ(limitIn("30"), 30.0);
     EXPECT_EQ(limitIn("13.4"), 13.4);
@@ -126,16 +126,47 @@
     for (const char *unreadable : {"", "-1", "nan", "inf", "1e3", "99999999", "30 per second", " 30"}) {
         EXPECT_EQ(limitIn(unreadable), std::nullopt) << unreadable;
     }
-    EXPECT_EQ(std::get<ForwardedAnswer>(this->decode(200, {stamp, echo})).acceptedRate, std::nullopt);
+    EXPECT_EQ(std::get<ForwardedAnswer>(this->decode(200, {stamp, echo})).statement.acceptedRate, std::nullopt);
     // A rejected request states it as well.
     const auto rejected = this->decode(503, {{.name = "X-Not-Run", .value = "1"}, {.name = "Server-Limit", .value = "2.5"}});
-    EXPECT_EQ(std::get<SubFailureReport>(rejected).answer->acceptedRate, 2.5);
+    EXPECT_EQ(std::get<SubFailureReport>(rejected).answer->statement.acceptedRate, 2.5);
 }
 
-TEST_F(HttpProtocolsTest, keepsTheLimitOfAServerFromCallers)
+TEST_F(HttpProtocolsTest, readsThePauseThatAServerAsksFor)
+{
+    const auto pauseIn = [&](int status, const std::string &value) {
+        const auto outcome = this->decode(status, {{.name = "X-Not-Run", .value = "1"}, {.name = "Retry-After", .value = value}});
+        return std::get<SubFailureReport>(outcome).answer->statement.requestedPause;
+    };
+    EXPECT_EQ(pauseIn(503, "2"), std::chrono::seconds(2));
+    EXPECT_EQ(pauseIn(503, "0.25"), milliseconds(250));
+    EXPECT_EQ(pauseIn(503, "0"), std::nullopt);
+    EXPECT_EQ(pauseIn(421, "2"), std::nullopt);
+    for (const char *unreadable : {"", "-1", "nan", "inf", "1e3", "99999999999", "2 s", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        EXPECT_EQ(pauseIn(503, unreadable), std::nullopt) << unreadable;
+    }
+}
+
+TEST_F(HttpProtocolsTest, readsThatAServerLeavesFromAnyOfItsResponses)
+{
+    const HeaderField leaving{.name = "Server-Leaving", .value = "1"};
+    const HeaderField stamp{.name = "X-Server-Stamp", .value = "s"};
+    const auto leaves = [](const SubOutcome &outcome) { return statementOf(outcome) != nullptr && statementOf(outcome)->leaving; };
+    EXPECT_TRUE(leaves(this->decode(200, {stamp, leaving})));
+    EXPECT_TRUE(leaves(this->decode(500, {stamp, leaving})));
+    EXPECT_TRUE(leaves(this->decode(503, {{.name = "X-Not-Run", .value = "1"}, leaving})));
+    EXPECT_TRUE(leaves(this->decode(200, {leaving}))) << "not a complete answer, but its server's";
+    EXPECT_FALSE(leaves(this->decode(421, {leaving}))) << "another server at the same address";
+    EXPECT_FALSE(leaves(this->decode(200, {stamp, leaving, {.name = "X-Request-Id", .value = "other"}})));
+    EXPECT_FALSE(leaves(this->decode(200, {stamp, {.name = "Server-Leaving", .value = "yes"}})));
+    EXPECT_FALSE(leaves(this->decode(200, {stamp})));
+}
+
+TEST_F(HttpProtocolsTest, keepsStatementsOfAServerFromCallers)
 {
     Answer answer{.state = RunState::ran};
-    answer.forwarded = ForwardedAnswer{.status = 200, .headers = {{.name = "Server-Limit", .value = "30"}, {.name = "X-Other", .value = "1"}}};
+    answer.forwarded = ForwardedAnswer{
+        .status = 200, .headers = {{.name = "Server-Limit", .value = "30"}, {.name = "Server-Leaving", .value = "1"}, {.name = "X-Other", .value = "1"}}};
     const HttpResponse response = this->callers.encode(answer, {});
     ASSERT_EQ(response.headers.size(), 1U);
     EXPECT_EQ(response.headers[0].name, "X-Other");
--- a/unittests/Wire/BackendClientTest.cpp
+++ b/unittests/Wire/BackendClientTest.cpp
@@ -2,6 +2,7 @@
 #include "LoopThread.h"
 #include "ragwortcart/Wire/HttpServer.h"
 
+#include <atomic>
 #include <gtest/gtest.h>
 #include <map>
 #include <memory>
@@ -274,6 +275,31 @@
     EXPECT_EQ(this->received, 1);
 }
 
+/// Guards against memory that grows without bound: many servers at once send responses that do not end.
+TEST_F(BackendClientTest, failsResponsesWithoutEndAndClosesTheirConnections)
+{
+    static constexpr int SERVERS = 50;
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+    const std::string lineWithoutEnd(4096, 'x');
+    for (const bool endsHead : {true, false}) {
+        EndlessServer endless(endsHead ? head : "HTTP/1.1 200 OK\r\nX-Long: ", lineWithoutEnd);
+        this->address = "127.0.0.1:" + std::to_string(endless.port);
+        std::atomic<int> failures{0};
+        this->thread.call([&] {
+            for (int server = 0; server < SERVERS; ++server) {
+                this->client->send(this->request("x"), {.maximumConnections = SERVERS}, [&failures](const SubOutcome &outcome) {
+                    failures += std::holds_alternative<SubFailureReport>(outcome) ? 1 : 0;
+                });
+            }
+        });
+        EXPECT_TRUE(eventually([&failures] { return failures == SERVERS; })) << "failed: " << failures;
+        this->thread.call([this] {
+            this->client.reset();
+            this->client = std::make_unique<BackendClient>(this->thread.loop, BackendClient::Options{});
+        });
+    }
+}
+
 TEST_F(BackendClientTest, fetchesServerStatus)
 {
     std::promise<Result<ServerStatus>> promise;
--- a/unittests/Wire/LoopThread.h
+++ b/unittests/Wire/LoopThread.h
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 namespace ragwort {
 
@@ -126,6 +127,63 @@
     int descriptor;
 };
 
+/// A server on loopback that sends the same bytes on each connection over and over, whatever it receives, until it is destroyed.
+class EndlessServer
+{
+public:
+    /// Sends \p first once and then \p repeated without end.
+    EndlessServer(std::string first, std::string repeated) : head(std::move(first)), tail(std::move(repeated)), descriptor(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        ::bind(this->descriptor, reinterpret_cast<const sockaddr *>(&address), size);
+        ::listen(this->descriptor, 128);
+        ::getsockname(this->descriptor, reinterpret_cast<sockaddr *>(&address), &size);
+        this->port = ntohs(address.sin_port);
+        this->acceptor = std::thread([this] { this->acceptAll(); });
+    }
+    ~EndlessServer()
+    {
+        ::shutdown(this->descriptor, SHUT_RDWR);
+        this->acceptor.join();
+        for (std::thread &sender : this->senders) {
+            sender.join();
+        }
+        ::close(this->descriptor);
+    }
+    EndlessServer(const EndlessServer &) = delete;
+    EndlessServer &operator=(const EndlessServer &) = delete;
+
+    std::uint16_t port = 0;
+
+private:
+    void acceptAll()
+    {
+        for (int client = ::accept(this->descriptor, nullptr, nullptr); client >= 0; client = ::accept(this->descriptor, nullptr, nullptr)) {
+            this->senders.emplace_back([this, client] { this->sendAll(client); });
+        }
+    }
+
+    void sendAll(int client) const
+    {
+        char request[4096];
+        ::recv(client, request, sizeof request, 0);
+        bool open = ::send(client, this->head.data(), this->head.size(), MSG_NOSIGNAL) >= 0;
+        while (open) {
+            open = ::send(client, this->tail.data(), this->tail.size(), MSG_NOSIGNAL) >= 0;
+        }
+        ::close(client);
+    }
+
+    std::string head;
+    std::string tail;
+    int descriptor;
+    std::thread acceptor;
+    std::vector<std::thread> senders;
+};
+
 /// Polls \p condition until it holds. Returns false if it does not hold within \p timeout.
 template <typename Condition>
 bool eventually(Condition condition, std::chrono::seconds timeout = std::chrono::seconds(20))
