--- a/include/ragwortcart/Control/PlatformItems.h
+++ b/include/ragwortcart/Control/PlatformItems.h
@@ -52,6 +52,8 @@
     std::string domain;
     /// IP address and port for links from peers; empty if the instance accepts no links.
     std::string peerAddress;
+    /// Processor cores that the instance may use; 0 if unknown.
+    double capacity = 0.0;
 };
 /// An item that does not concern the tier.
 struct UnrelatedItem
--- a/include/ragwortcart/Control/ServerRegistry.h
+++ b/include/ragwortcart/Control/ServerRegistry.h
@@ -7,6 +7,7 @@
 #ifndef RAGWORTCART_CONTROL_SERVERREGISTRY_H
 #define RAGWORTCART_CONTROL_SERVERREGISTRY_H
 
+#include "ragwortcart/Control/AggregatorPool.h"
 #include "ragwortcart/Control/PlatformItems.h"
 #include "ragwortcart/Kernel/Topology.h"
 
@@ -31,6 +32,8 @@
         Duration removalGrace = std::chrono::milliseconds(2200);
         /// Maximum requests per second to a cold server over all instances: a multiple of the server's own rate plus a
         /// constant.
+        /// Processor cores that this instance may use; 0 if unknown.
+        double capacity = 0.0;
         double coldRateFactor = 1.5;
         double coldRateAddition = 5.0;
     };
@@ -71,6 +74,11 @@
     }
     /// Returns the number of live entry instances, this one included.
     int liveInstances() const;
+    /// Returns the aggregators that this instance asks, as of the last `build()`: addresses for peer links by instance.
+    const std::map<std::string, std::string> &aggregatorAddresses() const
+    {
+        return this->aggregatorPeers;
+    }
 
 private:
     struct Server
@@ -96,12 +104,27 @@
     /// Excludes a server whose entry has gone and keeps its record for `FORMER_SERVER_LIFETIME`.
     void retire(const Server &server, Instant now);
     void updateExclusions(const Server &server) const;
+    /// Connections to one server and the instances that share them equally, this one among them.
+    struct ConnectionShares
+    {
+        int connections = 1;
+        int sharers = 1;
+    };
+
+    /// Divides a server's connections between the aggregators and the other instances, if it holds a shard.
+    ConnectionShares sharesOf(const std::string &service, int connections) const;
+    /// Returns this instance's fraction of what all instances together may do at the servers of shards.
+    double fractionOfTier() const;
+    /// Returns the failure domains that have servers of about as many shards as any other.
+    std::set<std::string> holdingDomains() const;
+    QueryDivision makeDivision();
     void updateShare(const Server &server, const RouteTable &routes) const;
     /// If the connections of a service's servers are scarce, ranks the replicas, those in the own failure domain first,
     /// and sets the idle timeout of the connections.
-    void updateReplicaAffinity(std::span<const ServerPointer> replicas, int connections) const;
+    void updateReplicaAffinity(std::span<const ServerPointer> replicas, const ConnectionShares &shares) const;
     int instancesIn(const std::string &domain) const;
-    /// Returns how many instances precede this one in the order in which they may hold connections to the server.
+    /// Returns how many of the instances that share connections with this one precede it in the order in which they may hold connections to the
+    /// server.
     int connectionRank(const Server &server) const;
 
     Options options;
@@ -109,8 +132,12 @@
     /// By id. Invariant: contains no server of `servers`.
     std::map<std::string, FormerServer> formerServers;
     std::set<std::string> domainsOutOfService;
-    /// Failure domain by instance name.
-    std::map<std::string, std::string> instances;
+    /// By name.
+    std::map<std::string, InstanceItem> instances;
+    /// As of the last `build()`: the aggregators, those that this instance asks, and the services that hold shards.
+    AggregatorPool pool;
+    std::map<std::string, std::string> aggregatorPeers;
+    std::set<std::string> shardServices;
     std::uint64_t version = 0;
     /// Removals before this time may be caused by the outage and not by the servers.
     Instant graceEnd{};
--- a/include/ragwortcart/Kernel/KernelMessages.h
+++ b/include/ragwortcart/Kernel/KernelMessages.h
@@ -3,6 +3,7 @@
 #ifndef RAGWORTCART_KERNEL_KERNELMESSAGES_H
 #define RAGWORTCART_KERNEL_KERNELMESSAGES_H
 
+#include "ragwortcart/Model/PartialQuery.h"
 #include "ragwortcart/Model/Query.h"
 
 #include <optional>
@@ -94,6 +95,20 @@
     int crashedServers = 0;
 };
 
+/// An aggregator has answered a branch of a query.
+struct PartialQueryAnswered
+{
+    std::string aggregator;
+    PartialQueryReply reply;
+};
+
+/// The link to another instance has opened or closed.
+struct PeerLinkChanged
+{
+    std::string peer;
+    bool up = false;
+};
+
 /// Stops accepting new queries; waiting and running queries are completed.
 struct DrainRequested
 {
@@ -107,6 +122,8 @@
                                  SubRequestEnded,
                                  ClaimDecided,
                                  CrashReportCompleted,
+                                 PartialQueryAnswered,
+                                 PeerLinkChanged,
                                  DrainRequested>;
 
 // Actions.
@@ -125,6 +142,21 @@
     std::string serverId;
 };
 
+/// Hands shards of a query over to an aggregator. Answered by `PartialQueryAnswered`, unless the link closes.
+struct SendPartialQuery
+{
+    std::string aggregator;
+    PartialQueryRequest request;
+};
+
+/// Cancels a branch. Not answered.
+struct CancelPartialQuery
+{
+    std::string aggregator;
+    PartialQueryCancel cancel;
+};
+
+/// Answers the caller, or the coordinator if the query has a `ShardSelection`.
 struct ReplyToCaller
 {
     Answer answer;
@@ -229,6 +261,14 @@
     serverPauseEnded,
     /// The server states that it is about to leave.
     serverLeaving,
+    /// Shards of the query were handed over to an aggregator.
+    handedOver,
+    /// The aggregator has refused its shards. Nothing was sent to servers.
+    aggregatorRefused,
+    /// The aggregator has not answered in time, or its link has closed.
+    aggregatorSilent,
+    /// The coordinator's version of the route names other shards than this instance's.
+    refusedRouteDiffers,
     /// All usable servers of a part limit their requests or have asked for a pause, and none accepts this one in time.
     heldBackByServers,
     completed,
@@ -246,8 +286,16 @@
     std::string detail;
 };
 
-using KernelAction
-    = std::variant<SendSubRequest, CancelSubRequest, ReplyToCaller, RequestClaim, RecordClaimOutcome, ReportCrash, AnnounceWarmUp, ReportDecision>;
+using KernelAction = std::variant<SendSubRequest,
+                                  CancelSubRequest,
+                                  SendPartialQuery,
+                                  CancelPartialQuery,
+                                  ReplyToCaller,
+                                  RequestClaim,
+                                  RecordClaimOutcome,
+                                  ReportCrash,
+                                  AnnounceWarmUp,
+                                  ReportDecision>;
 
 } // namespace ragwort
 
--- a/include/ragwortcart/Kernel/QueryEngine.h
+++ b/include/ragwortcart/Kernel/QueryEngine.h
@@ -8,6 +8,7 @@
 #define RAGWORTCART_KERNEL_QUERYENGINE_H
 
 #include "ragwortcart/Kernel/AdmissionQueue.h"
+#include "ragwortcart/Kernel/AggregatorHealth.h"
 #include "ragwortcart/Kernel/KernelMessages.h"
 #include "ragwortcart/Kernel/Policies.h"
 #include "ragwortcart/Kernel/QuarantineList.h"
@@ -27,7 +28,9 @@
 struct ActiveQuery;
 struct QueryPart;
 struct PartAttempt;
+struct QueryBranch;
 struct Route;
+struct ShardSet;
 
 /// State of one group in one engine, for the state dump.
 struct GroupStatus
@@ -143,9 +146,11 @@
     // Forwarded requests (ForwardSteps.cpp).
     static std::optional<ResolvedQuery> resolve(const QueryRequest &request, const Configuration &configured);
     void startForward(ActiveQuery &query, Instant now);
-    /// Adds the part that \p service answers, and the credit that it earns to the budget of the service.
+    /// Adds the parts of a merged query: all shards of the route, or those that the coordinator selects.
+    void addShardParts(ActiveQuery &query, const ShardSet &shards);
+    /// Adds the part that \p service answers.
     void addServicePart(ActiveQuery &query, const std::string &service);
-    ExtraLoadBudget &serviceBudget(const BackendGroup &group, const std::string &service);
+    ExtraLoadBudget &serviceBudget(const ActiveQuery &query, const std::string &service);
     ExtraLoadBudget &budgetOf(const ActiveQuery &query, const QueryPart &part);
     void armObjectiveTimer(ActiveQuery &query);
     void onForwardAnswered(const ForwardAnswered &event, Instant now);
@@ -176,6 +181,24 @@
     void finishForward(ActiveQuery &query, Reason reason, Instant now);
     Duration retryAfterFor(const QueryRequest &request, Duration expectedWait);
 
+    // Division of a query among instances (DivisionSteps.cpp).
+    /// Hands the shards of a query over to aggregators if they gather them in less time. The parts of the other shards stay idle.
+    void handOver(ActiveQuery &query, Instant now);
+    /// Returns into how many branches a query is divided, at most one for each of \p available, or 0 if this instance gathers it alone.
+    std::size_t branchCount(const ActiveQuery &query, std::span<const Aggregator> available);
+    void sendBranch(ActiveQuery &query, std::size_t firstPart, std::size_t partCount, const std::string &aggregator, Instant now);
+    void onPartialQueryAnswered(const PartialQueryAnswered &event, Instant now);
+    void acceptBranch(ActiveQuery &query, QueryBranch &branch, const PartialQueryReply &reply, Instant now);
+    void onBranchTimeout(QueryId id, AttemptId branch, Instant now);
+    void onPeerLinkChanged(const PeerLinkChanged &event, Instant now);
+    /// Gathers the shards of a refused branch, for which nothing was sent, through another aggregator or by this instance.
+    void replaceBranch(ActiveQuery &query, std::size_t branchIndex, Instant now);
+    /// Fails the parts of a branch, which may have run.
+    void failBranch(ActiveQuery &query, const QueryBranch &branch, Instant now);
+    /// Sends the first requests of the idle parts among \p count parts from \p first on.
+    void dispatchIdle(ActiveQuery &query, std::size_t first, std::size_t count, Instant now);
+    void cancelBranches(ActiveQuery &query);
+
     // Attempts (AttemptSteps.cpp).
     /// Returns the open attempt that a response belongs to. If there is none, the attempt was cancelled: the response
     /// is dropped, and the permit that the attempt may still hold is released.
@@ -244,6 +267,7 @@
     std::unordered_map<QueryId, QueryPointer> queries;
     std::unordered_map<std::string, std::unique_ptr<GroupState>> groups;
     AdmissionQueue queue;
+    AggregatorHealth aggregatorHealth;
     /// The budgets of forwarded requests, keyed by service.
     std::map<std::string, ExtraLoadBudget, std::less<>> serviceBudgets;
     const bool sharesPermits;
--- a/include/ragwortcart/Kernel/Topology.h
+++ b/include/ragwortcart/Kernel/Topology.h
@@ -5,11 +5,13 @@
 #ifndef RAGWORTCART_KERNEL_TOPOLOGY_H
 #define RAGWORTCART_KERNEL_TOPOLOGY_H
 
+#include "ragwortcart/Kernel/QueryDivision.h"
 #include "ragwortcart/Kernel/ServerRecord.h"
 #include "ragwortcart/Kernel/Shares.h"
 #include "ragwortcart/Model/KeyRange.h"
 #include "ragwortcart/Model/Query.h"
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -80,6 +82,10 @@
     std::map<std::string, std::vector<ServerPointer>, std::less<>> services;
     /// Number of live entry instances, including this one; admission divides the servers' slots by it.
     int liveInstances = 1;
+    /// This instance's fraction of what all instances together may do at the servers of shards: retries, hedges and admitted queries. Zero: an equal
+    /// share for each live instance.
+    double gatherFraction = 0.0;
+    QueryDivision division;
     ShareInputs shareInputs;
     /// Time until which requests may be sent to other failure domains, in microseconds on the monotonic clock. Checked
     /// for each request, so that an instance that was paused does not act on stale state. Null: no limit.
@@ -90,6 +96,12 @@
         return !this->crossDomainUntilUs || now.time_since_epoch().count() <= this->crossDomainUntilUs->load(std::memory_order_acquire);
     }
 
+    /// Returns this instance's fraction of what all instances together may do at the servers of a route that merges shards or does not.
+    double fractionOfTier(bool mergesShards) const
+    {
+        return mergesShards && this->gatherFraction > 0.0 ? this->gatherFraction : 1.0 / std::max(this->liveInstances, 1);
+    }
+
     const GroupTopology *findGroup(std::string_view team, std::string_view group) const;
 };
 
--- a/include/ragwortcart/Model/ForwardedQuery.h
+++ b/include/ragwortcart/Model/ForwardedQuery.h
@@ -6,6 +6,8 @@
 
 #include "ragwortcart/Support/Clock.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,11 +34,27 @@
     std::string callerRequestId;
 };
 
+/// The shards of a route that an instance gathers for another one, the coordinator of the query.
+struct ShardSelection
+{
+    /// Positions of the shards in the route's `ShardSet`.
+    std::size_t first = 0;
+    std::size_t count = 0;
+    /// The fewest shards that are of use to the coordinator.
+    std::size_t minimum = 0;
+    /// `Route::revision` at the coordinator.
+    std::uint64_t routeRevision = 0;
+    /// When an answer with the minimum is to be returned, although it leaves shards out.
+    Instant answerBy{};
+};
+
 /// A request to forward, and the name of the route that determines the eligible services.
 struct ForwardedCall
 {
     std::shared_ptr<const ForwardedRequest> request;
     std::string route;
+    /// Nothing if the request comes from a caller.
+    std::optional<ShardSelection> selection;
 };
 
 /// The load that a server reports for itself.
@@ -81,7 +99,8 @@
     std::string body;
     /// One per merged answer.
     std::vector<std::string> signatures;
-    std::size_t missingShards = 0;
+    /// Positions of the other shards in the route's `ShardSet`, ascending.
+    std::vector<std::uint32_t> missingShards;
 };
 
 /// The reply to a forwarded request. Holds `std::monostate` if the tier itself reports a failure, and for queries that are not
--- a/include/ragwortcart/Model/Route.h
+++ b/include/ragwortcart/Model/Route.h
@@ -55,6 +55,8 @@
     Duration latencyObjective{};
     /// Limit for the servers that may run one request, per shard.
     int maximumAttempts = 1;
+    /// Identifies the services and limits that decide what an answer consists of: equal in two versions if these are.
+    std::uint64_t revision = 0;
 };
 
 struct ServiceSettings
@@ -90,7 +92,7 @@
     const Route *find(std::string_view routeName) const;
 };
 
-/// Derives the group name and the urgency of each route from the whole table. Routes to the same services share one group; among
+/// Derives the group name, the revision and the urgency of each route from the whole table. Routes to the same services share one group; among
 /// them, the routes with the lowest priority number are urgent and the others are ordinary.
 void deriveRouteGroups(RouteTable &table);
 
--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -60,6 +60,11 @@
         /// The same for a relay. It is shorter, because a relay's followers receive no changes until it detects that the connection is
         /// lost.
         Duration relayWatchWait = std::chrono::seconds(1);
+        /// Processor cores that this instance may use; 0 if unknown.
+        double capacity = 0.0;
+        /// Called on the links' thread with the messages of divided queries, and when a link opens or closes.
+        std::function<void(const std::string &peer, const std::string &bytes)> onPartialQueryMessage;
+        std::function<void(const std::string &peer, bool up)> onPeerLink;
         /// Called on the main thread when a new version of the routes is applied.
         std::function<void(const RouteTable &)> onRoutes;
     };
@@ -68,6 +73,12 @@
 
     void start();
 
+    /// Sends a message over the link to \p peer, if there is one. Thread-safe.
+    void sendToPeer(const std::string &peer, const std::string &bytes);
+
+    /// Ends the links' thread. No handler of a link runs afterwards.
+    void stopLinks();
+
     /// Stops watching the store and ends the lease of this instance's entry, which deletes the entry.
     void leave();
 
@@ -188,6 +199,8 @@
     Counter &storeCalls;
     /// Declared last, so that its thread ends before the members that it calls are destroyed. Null without peer links.
     std::unique_ptr<PeerLinks> links;
+    /// `links` once they are started, for other threads.
+    std::atomic<PeerLinks *> startedLinks{nullptr};
 };
 
 } // namespace ragwort
--- a/include/ragwortcart/Runtime/RouteProcess.h
+++ b/include/ragwortcart/Runtime/RouteProcess.h
@@ -38,6 +38,8 @@
     Duration watchWait = std::chrono::seconds(4);
     /// The same for a relay, which forwards store events to peers.
     Duration relayWatchWait = std::chrono::seconds(1);
+    /// Processor cores that this instance may use, which decides whether it gathers queries for others; 0 if unknown.
+    double capacity = 0.0;
     ExtraLoadLimits extraLoad;
     /// Maximum requests per second to a cold server from all instances: a multiple of the cold rate of its service plus a constant.
     double coldRateFactor = 1.5;
--- a/include/ragwortcart/Runtime/Worker.h
+++ b/include/ragwortcart/Runtime/Worker.h
@@ -4,6 +4,7 @@
 #define RAGWORTCART_RUNTIME_WORKER_H
 
 #include "ragwortcart/Kernel/QueryEngine.h"
+#include "ragwortcart/Support/DelayEstimator.h"
 #include "ragwortcart/Support/Metrics.h"
 #include "ragwortcart/Wire/BackendClient.h"
 #include "ragwortcart/Wire/CallerProtocol.h"
@@ -58,6 +59,8 @@
         ControlRequestHandler control;
         const CallerProtocol &callerProtocol = jsonCallerProtocol();
         const BackendProtocol &backendProtocol = jsonBackendProtocol();
+        /// Sends a message of a divided query to another instance. Thread-safe. Queries are divided only if the topology names aggregators.
+        std::function<void(const std::string &peer, const std::string &bytes)> sendToPeer = [](const std::string &, const std::string &) {};
         /// Time to wait for the response to a cancelled sub-request before its connection is closed.
         Duration cancelGrace = std::chrono::milliseconds(50);
         std::uint64_t seed = 1;
@@ -91,6 +94,12 @@
         }
     }
 
+    /// Handles a message of a divided query from another instance. Thread-safe.
+    void onPartialQueryMessage(const std::string &peer, const std::string &bytes);
+
+    /// Handles the opening or the end of a link to another instance. Thread-safe.
+    void onPeerLink(const std::string &peer, bool up);
+
     /// Replaces the size and time limits of callers' requests. Thread-safe.
     void setCallerRequestLimits(const HttpServer::RequestLimits &requestLimits);
 
@@ -114,9 +123,19 @@
     void fetchStatus(const std::string &address, Duration timeout, BackendClient::StatusCompletion completion);
 
 private:
+    /// Identifies shards that this instance gathers for another one.
+    struct BranchKey
+    {
+        std::string coordinator;
+        QueryId query = 0;
+        AttemptId branch = 0;
+        auto operator<=>(const BranchKey &) const = default;
+    };
+
     struct OpenQuery
     {
         Worker *ingress = nullptr;
+        /// Null if the query comes from a coordinator.
         std::shared_ptr<HttpExchange> exchange;
         std::string team;
         std::string kind;
@@ -124,11 +143,14 @@
         Instant arrival{};
         /// The caller's request id for a forwarded call, otherwise the trace parent.
         std::string requestId;
+        /// Set if the query comes from a coordinator.
+        std::optional<BranchKey> branch = std::nullopt;
     };
 
     void onCallerRequest(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange);
     /// Registers the query and passes it to the engine. Runs on the worker that serves the query; \p ingress owns the exchange.
     void acceptQuery(QueryRequest request, Worker &ingress, const std::shared_ptr<HttpExchange> &exchange);
+    QueryId nextQueryId();
     void handle(const KernelEvent &event);
     void performActions();
     void perform(const KernelAction &action);
@@ -138,6 +160,12 @@
     void reply(const Answer &answer);
     void recordDecision(const ReportDecision &decision);
     Worker &connectionOwner(const std::string &serverId);
+
+    // Gathering for other instances (WorkerPartialQueries.cpp).
+    void acceptBranch(const std::string &peer, const PartialQueryRequest &partial);
+    void cancelBranch(const BranchKey &key);
+    void cancelBranchesOf(const std::string &coordinator);
+    void replyToCoordinator(const BranchKey &key, const Answer &answer);
     LatencyHistogram &latencyHistogramFor(const std::string &team, const std::string &kind);
 
     const Options options;
@@ -150,10 +178,15 @@
     LoopTimer wakeup;
     std::vector<Worker *> allWorkers;
     std::unordered_map<QueryId, OpenQuery> queriesById;
+    /// The open queries that come from coordinators.
+    std::map<BranchKey, QueryId> branches;
+    /// By instance, since its link has opened.
+    std::map<std::string, DelayEstimator> delays;
     std::map<std::string, LatencyHistogram *> latencies;
     std::array<Counter *, 64> reasonCounters{};
     Counter &subRequests;
     Counter &acceptedQueries;
+    Counter &acceptedBranches;
     std::uint64_t queryCount = 0;
     /// Number of queries received by this worker that have not ended. Also modified by the workers that serve them.
     std::atomic<std::size_t> openQueryCount{0};
--- a/lib/Control/ServerRegistry.cpp
+++ b/lib/Control/ServerRegistry.cpp
@@ -5,6 +5,7 @@
 #include "ragwortcart/Support/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace ragwort {
 
@@ -27,6 +28,9 @@
 static constexpr Duration SCARCE_IDLE_TIMEOUT = std::chrono::seconds(1);
 /// How long the record of a server is kept after its entry has gone: much longer than a leaving server serves on.
 static constexpr Duration FORMER_SERVER_LIFETIME = std::chrono::minutes(10);
+/// Percentage of what all instances together may do at the servers of shards that is reserved for the aggregators. The others need the rest if
+/// no aggregator is left to them.
+static constexpr int AGGREGATORS_PERCENT = 50;
 /// Headroom for instances that start before the others know about them.
 static constexpr int JOINING_INSTANCES = 1;
 
@@ -141,7 +145,7 @@
 
 void ServerRegistry::setInstance(const InstanceItem &instance)
 {
-    this->instances[instance.name] = instance.domain;
+    this->instances[instance.name] = instance;
 }
 
 void ServerRegistry::removeInstance(const std::string &name)
@@ -207,7 +211,7 @@
 
 int ServerRegistry::instancesIn(const std::string &domain) const
 {
-    const auto inDomain = [&domain](const auto &instance) { return instance.second == domain; };
+    const auto inDomain = [&domain](const auto &instance) { return instance.second.domain == domain; };
     return static_cast<int>(std::count_if(this->instances.begin(), this->instances.end(), inDomain));
 }
 
@@ -217,8 +221,13 @@
     const bool near = server.entry.domain == this->options.domain;
     const std::uint64_t own = stableHash(this->options.instance, seed);
     int preceding = 0;
-    for (const auto &[name, domain] : this->instances) {
-        const bool otherNear = domain == server.entry.domain;
+    const bool aggregates = this->pool.contains(this->options.instance);
+    const bool divided = !this->pool.empty() && this->shardServices.contains(server.entry.service);
+    for (const auto &[name, instance] : this->instances) {
+        if (divided && this->pool.contains(name) != aggregates) {
+            continue;
+        }
+        const bool otherNear = instance.domain == server.entry.domain;
         const bool closer = otherNear && !near;
         const bool equallyClose = otherNear == near;
         if (name != this->options.instance && (closer || (equallyClose && stableHash(name, seed) < own))) {
@@ -240,28 +249,32 @@
     if (service == routes.services.end()) {
         return;
     }
+    const ConnectionShares shares = this->sharesOf(server.entry.service, service->second.connections);
+    const bool holdsShard = this->shardServices.contains(server.entry.service);
     const int sharingInstances = this->liveInstances() + JOINING_INSTANCES;
-    const int connections = service->second.connections;
-    server.record->warmShare.store(std::max(1, connections / sharingInstances));
-    server.record->rateSharers.store(sharingInstances);
-    server.record->connectionAssigned.store(connections >= sharingInstances || this->connectionRank(server) < connections * ASSIGNED_CONNECTIONS_PERCENT / 100);
-    // The instances in a cold server's own failure domain share its capacity. The others send it no requests, unless
-    // that domain has no instances.
+    server.record->warmShare.store(std::max(1, shares.connections / shares.sharers));
+    server.record->rateSharers.store(holdsShard ? static_cast<int>(std::ceil(1.0 / this->fractionOfTier())) : sharingInstances);
+    server.record->connectionAssigned.store(shares.connections >= shares.sharers
+                                            || this->connectionRank(server) < shares.connections * ASSIGNED_CONNECTIONS_PERCENT / 100);
+    // The instances in a cold server's own failure domain share its capacity, or only the aggregators there, which send it most requests. The
+    // others send it no requests, unless that domain has no instances.
     const int domainInstances = this->instancesIn(server.entry.domain);
-    const bool sharesCold = domainInstances == 0 || server.entry.domain == this->options.domain;
+    const int domainAggregators = holdsShard ? this->pool.countIn(server.entry.domain) : 0;
+    const bool inDomain = server.entry.domain == this->options.domain;
+    const bool sharesCold = domainAggregators > 0 ? inDomain && this->pool.contains(this->options.instance) : domainInstances == 0 || inDomain;
+    const int coldSharers = domainAggregators > 0 ? domainAggregators + JOINING_INSTANCES : domainInstances == 0 ? sharingInstances : domainInstances;
     const double coldCapacity = service->second.coldRate * this->options.coldRateFactor + this->options.coldRateAddition;
-    const auto perWindow = static_cast<int>(coldCapacity / std::max(domainInstances == 0 ? sharingInstances : domainInstances, 1));
+    const auto perWindow = static_cast<int>(coldCapacity / std::max(coldSharers, 1));
     server.record->announcedColdIntervalUs.store(sharesCold && perWindow > 0 ? COLD_WINDOW.count() / perWindow : Duration(BLOCKED_INTERVAL).count());
     if (!sharesCold || perWindow == 0) {
         server.record->announcedColdNextRequestUs.store(server.record->announcedColdUntilUs.load());
     }
 }
 
-void ServerRegistry::updateReplicaAffinity(std::span<const ServerPointer> replicas, int connections) const
+void ServerRegistry::updateReplicaAffinity(std::span<const ServerPointer> replicas, const ConnectionShares &shares) const
 {
-    const int sharingInstances = this->liveInstances() + JOINING_INSTANCES;
-    const bool scarce = connections < sharingInstances * CONNECTION_GENERATIONS;
-    const bool timeShared = connections * CONNECTION_GENERATIONS < sharingInstances;
+    const bool scarce = shares.connections < shares.sharers * CONNECTION_GENERATIONS;
+    const bool timeShared = shares.connections * CONNECTION_GENERATIONS < shares.sharers;
     std::vector<ServerPointer> ordered(replicas.begin(), replicas.end());
     const auto order = [this](const ServerPointer &server) {
         return std::pair(server->inOtherDomain.load(std::memory_order_relaxed), stableHash(this->options.instance, stableHash(server->identity.id)));
@@ -277,11 +290,90 @@
     }
 }
 
+ServerRegistry::ConnectionShares ServerRegistry::sharesOf(const std::string &service, int connections) const
+{
+    const int all = this->liveInstances() + JOINING_INSTANCES;
+    if (this->pool.empty() || !this->shardServices.contains(service)) {
+        return {.connections = connections, .sharers = all};
+    }
+    const int aggregators = static_cast<int>(this->pool.size());
+    const int reserved = connections * AGGREGATORS_PERCENT / 100;
+    if (this->pool.contains(this->options.instance)) {
+        return {.connections = reserved, .sharers = aggregators + JOINING_INSTANCES};
+    }
+    return {.connections = connections - reserved, .sharers = std::max(all - aggregators, 1)};
+}
+
+double ServerRegistry::fractionOfTier() const
+{
+    const double all = this->liveInstances() + JOINING_INSTANCES;
+    if (this->pool.empty()) {
+        return 1.0 / all;
+    }
+    const double aggregators = static_cast<double>(this->pool.size());
+    const double reserved = AGGREGATORS_PERCENT / 100.0;
+    return this->pool.contains(this->options.instance) ? reserved / (aggregators + JOINING_INSTANCES) : (1.0 - reserved) / std::max(all - aggregators, 1.0);
+}
+
+std::set<std::string> ServerRegistry::holdingDomains() const
+{
+    std::map<std::string, int> servers;
+    int most = 0;
+    for (const auto &[id, server] : this->servers) {
+        if (this->shardServices.contains(server.entry.service) && !server.record->isExcluded()) {
+            most = std::max(most, ++servers[server.entry.domain]);
+        }
+    }
+    std::set<std::string> holding;
+    for (const auto &[domain, count] : servers) {
+        if (count * 2 >= most) {
+            holding.insert(domain);
+        }
+    }
+    return holding;
+}
+
+/// Returns the services that hold shards under \p routes.
+static std::set<std::string> shardServicesOf(const RouteTable &routes)
+{
+    std::set<std::string> services;
+    for (const Route &route : routes.routes) {
+        if (const auto *shards = std::get_if<ShardSet>(&route.target)) {
+            services.insert(shards->services.begin(), shards->services.end());
+        }
+    }
+    return services;
+}
+
+QueryDivision ServerRegistry::makeDivision()
+{
+    this->aggregatorPeers.clear();
+    if (this->pool.empty()) {
+        return {};
+    }
+    const std::set<std::string> holding = this->holdingDomains();
+    QueryDivision division{.aggregators = {},
+                           .ownCapacity = this->options.capacity,
+                           .aggregates = this->pool.contains(this->options.instance),
+                           .domainHoldsShards = holding.contains(this->options.domain)};
+    for (const InstanceItem &aggregator : this->pool.aggregatorsFor(this->options.instance, this->options.domain, holding)) {
+        division.aggregators.push_back({.instance = aggregator.name, .capacity = aggregator.capacity});
+        this->aggregatorPeers[aggregator.name] = aggregator.peerAddress;
+    }
+    return division;
+}
+
 std::shared_ptr<const Topology> ServerRegistry::build(const RouteTable &routes)
 {
+    this->shardServices = shardServicesOf(routes);
+    this->pool = AggregatorPool(this->instances, routes);
     auto topology = std::make_shared<Topology>();
     topology->version = ++this->version;
     topology->liveInstances = this->liveInstances();
+    topology->division = this->makeDivision();
+    if (!this->pool.empty()) {
+        topology->gatherFraction = this->fractionOfTier();
+    }
     for (const auto &[id, server] : this->servers) {
         this->updateShare(server, routes);
         topology->servers[id] = server.record;
@@ -289,7 +381,7 @@
     }
     for (const auto &[service, replicas] : topology->services) {
         if (const auto known = routes.services.find(service); known != routes.services.end()) {
-            this->updateReplicaAffinity(replicas, known->second.connections);
+            this->updateReplicaAffinity(replicas, this->sharesOf(service, known->second.connections));
         }
     }
     return topology;
--- a/lib/Kernel/ForwardSteps.cpp
+++ b/lib/Kernel/ForwardSteps.cpp
@@ -43,30 +43,36 @@
         part.replicas = servers->second;
     }
     query.parts.push_back(std::move(part));
-    ExtraLoadBudget &budget = this->serviceBudget(*query.group, service);
-    budget.earn(query.group->extraLoad);
 }
 
-ExtraLoadBudget &QueryEngine::serviceBudget(const BackendGroup &group, const std::string &service)
+void QueryEngine::addShardParts(ActiveQuery &query, const ShardSet &shards)
+{
+    const ShardSelection *selection = query.selection();
+    const std::size_t first = selection != nullptr ? std::min(selection->first, shards.services.size()) : 0;
+    const std::size_t count = selection != nullptr ? std::min(selection->count, shards.services.size() - first) : shards.services.size();
+    for (std::size_t position = first; position < first + count; ++position) {
+        this->addServicePart(query, shards.services[position]);
+    }
+}
+
+ExtraLoadBudget &QueryEngine::serviceBudget(const ActiveQuery &query, const std::string &service)
 {
     const auto found = this->serviceBudgets.find(service);
     ExtraLoadBudget &budget = found != this->serviceBudgets.end() ? found->second : this->serviceBudgets[service];
-    budget.setMaximum(group.extraLoadBurst / std::max(this->topology.get()->liveInstances, 1));
+    budget.setMaximum(query.group->extraLoadBurst * this->topology.get()->fractionOfTier(mergesShards(query.route)));
     return budget;
 }
 
 ExtraLoadBudget &QueryEngine::budgetOf(const ActiveQuery &query, const QueryPart &part)
 {
-    return query.route == nullptr ? this->groupState(query.key).budget : this->serviceBudget(*query.group, part.service);
+    return query.route == nullptr ? this->groupState(query.key).budget : this->serviceBudget(query, part.service);
 }
 
 void QueryEngine::startForward(ActiveQuery &query, Instant now)
 {
     std::visit(Visitor{[&](const ServiceChoice &choice) { this->addServicePart(query, chooseService(choice, this->random)); },
                        [&](const ShardSet &shards) {
-                           for (const std::string &service : shards.services) {
-                               this->addServicePart(query, service);
-                           }
+                           this->addShardParts(query, shards);
                            this->armObjectiveTimer(query);
                        }},
                query.route->target);
@@ -75,18 +81,16 @@
         this->finishForward(query, Reason::heldBackByServers, now);
         return;
     }
-    const QueryId id = query.request.id;
-    for (std::size_t index = 0; index < query.parts.size(); ++index) {
-        this->dispatch(query, index, now);
-        if (this->find(id) == nullptr) {
-            return;
-        }
+    if (query.selection() == nullptr) {
+        this->handOver(query, now);
     }
+    this->dispatchIdle(query, 0, query.parts.size(), now);
 }
 
 void QueryEngine::armObjectiveTimer(ActiveQuery &query)
 {
-    const Instant objective = query.request.arrival + query.route->latencyObjective - OBJECTIVE_MARGIN;
+    const ShardSelection *selection = query.selection();
+    const Instant objective = selection != nullptr ? selection->answerBy : query.request.arrival + query.route->latencyObjective - OBJECTIVE_MARGIN;
     query.objectiveTimer = this->timers.subscribe(objective, [this, id = query.request.id](Instant due) {
         if (ActiveQuery *lateQuery = this->find(id)) {
             lateQuery->pastObjective = true;
@@ -133,6 +137,9 @@
 
 bool meetsMinimumShare(const ActiveQuery &query, std::size_t shards, std::size_t all)
 {
+    if (const ShardSelection *selection = query.selection()) {
+        return shards >= selection->minimum;
+    }
     return shards > 0 && static_cast<double>(shards) + SHARE_TOLERANCE >= query.kind->minimumCoverage * static_cast<double>(all);
 }
 
@@ -176,14 +183,24 @@
 {
     MergedRecords merged;
     std::vector<std::string_view> bodies;
-    for (const QueryPart &part : query.parts) {
+    const std::size_t firstShard = query.selection() != nullptr ? query.selection()->first : 0;
+    for (std::size_t index = 0; index < query.parts.size(); ++index) {
+        const QueryPart &part = query.parts[index];
         if (part.answer) {
             bodies.push_back(part.answer->body);
             merged.signatures.push_back(part.answer->signature);
         }
+        if (part.state != PartState::done) {
+            merged.missingShards.push_back(static_cast<std::uint32_t>(firstShard + index));
+        }
+    }
+    for (const QueryBranch &branch : query.branches) {
+        if (branch.records) {
+            bodies.push_back(branch.records->body);
+            merged.signatures.insert(merged.signatures.end(), branch.records->signatures.begin(), branch.records->signatures.end());
+        }
     }
     merged.body = mergeTopRecords(bodies, shards.topRecordCount);
-    merged.missingShards = query.parts.size() - merged.signatures.size();
     return merged;
 }
 
--- a/lib/Kernel/KernelMessages.cpp
+++ b/lib/Kernel/KernelMessages.cpp
@@ -88,6 +88,14 @@
         return "server-pause-ended";
     case Reason::serverLeaving:
         return "server-leaving";
+    case Reason::handedOver:
+        return "handed-over";
+    case Reason::aggregatorRefused:
+        return "aggregator-refused";
+    case Reason::aggregatorSilent:
+        return "aggregator-silent";
+    case Reason::refusedRouteDiffers:
+        return "refused-route-differs";
     case Reason::heldBackByServers:
         return "held-back-by-servers";
     case Reason::completed:
--- a/lib/Kernel/QueryEngine.cpp
+++ b/lib/Kernel/QueryEngine.cpp
@@ -7,6 +7,7 @@
 #include "ragwortcart/Support/Visitor.h"
 
 #include <cassert>
+#include <cmath>
 
 namespace ragwort {
 
@@ -73,6 +74,8 @@
                        [&](const SubRequestEnded &ended) { this->onSubRequestEnded(ended, now); },
                        [&](const ClaimDecided &decided) { this->onClaimDecided(decided, now); },
                        [&](const CrashReportCompleted &completed) { this->onCrashReportCompleted(completed, now); },
+                       [&](const PartialQueryAnswered &answered) { this->onPartialQueryAnswered(answered, now); },
+                       [&](const PeerLinkChanged &changed) { this->onPeerLinkChanged(changed, now); },
                        [&](const DrainRequested &) { this->draining = true; }},
                event);
 }
@@ -200,8 +203,8 @@
     }
     const bool forwarded = resolved->route != nullptr;
     const int slots = forwarded ? routeSlots(*current, *resolved->route) : minimumServiceSlots(*current, resolved->key, resolved->group->slots);
-    const int instances = std::max(current->liveInstances, 1);
-    group.limit = std::max(resolved->group->minimumAdmission, (slots * resolved->group->admissionPerSlot + instances - 1) / instances);
+    const double tierLimit = static_cast<double>(slots) * resolved->group->admissionPerSlot;
+    group.limit = std::max(resolved->group->minimumAdmission, static_cast<int>(std::ceil(tierLimit * current->fractionOfTier(mergesShards(resolved->route)))));
     group.limitVersion = current->version;
     return group.limit;
 }
@@ -222,6 +225,12 @@
         return;
     }
     const QueryKind *kind = resolved->kind;
+    const auto *call = std::get_if<ForwardedCall>(&request.work);
+    const bool forCoordinator = call != nullptr && call->selection.has_value();
+    if (forCoordinator && call->selection->routeRevision != resolved->route->revision) {
+        this->refuse(request, Reason::refusedRouteDiffers, MINIMUM_RETRY_AFTER);
+        return;
+    }
     if (this->draining) {
         this->refuse(request, Reason::refusedDraining, DRAIN_RETRY_AFTER);
         return;
@@ -239,6 +248,11 @@
         return;
     }
     const Duration wait = this->expectedWait(group, kind->urgency, request);
+    if (forCoordinator) {
+        // The coordinator asks another instance at once.
+        this->refuse(request, Reason::refusedOverload, wait, "limit " + std::to_string(limit));
+        return;
+    }
     // A response to a forwarded request is of little use after its latency objective.
     const std::optional<Instant> objective = resolved->route == nullptr ? std::nullopt : std::optional(request.arrival + resolved->route->latencyObjective);
     const Instant usefulUntil = std::min(request.deadline, objective.value_or(request.deadline));
@@ -361,6 +375,7 @@
     for (QueryPart &part : query.parts) {
         this->cancelOpenAttempts(query, part, now);
     }
+    this->cancelBranches(query);
     this->timers.cancel(query.deadlineTimer);
     this->timers.cancel(query.objectiveTimer);
     this->groupState(query.key).running->fetch_sub(1, std::memory_order_acq_rel);
--- a/lib/Kernel/QueryState.h
+++ b/lib/Kernel/QueryState.h
@@ -28,6 +28,8 @@
     /// Waits for a permit of one of its replicas.
     waiting,
     inFlight,
+    /// Another instance gathers the part.
+    handedOver,
     /// The canary crashed a server; the part waits until the crash report is completed.
     awaitingCrashReport,
     /// A response was accepted.
@@ -82,6 +84,22 @@
     running
 };
 
+/// Parts of a forwarded request that another instance gathers.
+struct QueryBranch
+{
+    AttemptId id = 0;
+    std::string aggregator;
+    /// The parts are adjacent.
+    std::size_t firstPart = 0;
+    std::size_t partCount = 0;
+    Instant sentAt{};
+    TimerId timeout = 0;
+    /// The aggregator may still answer.
+    bool open = true;
+    /// The merged records of the parts that are done.
+    std::optional<MergedRecords> records;
+};
+
 struct ActiveQuery
 {
     QueryRequest request;
@@ -119,6 +137,7 @@
     bool pastObjective = false;
     /// Time after which the servers that held a part back accept it.
     Duration expectedWait{};
+    std::vector<QueryBranch> branches;
     /// The last error response of a server; returned to the caller if no attempt succeeds.
     std::optional<ForwardedAnswer> serverFailure;
     AttemptId lastAttempt = 0;
@@ -127,6 +146,13 @@
     int hedges = 0;
     int retries = 0;
 
+    /// Returns the shards that this instance gathers for a coordinator, or null if the query comes from a caller.
+    const ShardSelection *selection() const
+    {
+        const auto *call = std::get_if<ForwardedCall>(&this->request.work);
+        return call != nullptr && call->selection ? &*call->selection : nullptr;
+    }
+
     /// Returns the time until the answer must be returned to the caller.
     Duration timeLeft(Instant now) const
     {
@@ -134,6 +160,12 @@
     }
 };
 
+/// Returns whether a route, if there is one, merges the answers of shards.
+inline bool mergesShards(const Route *route)
+{
+    return route != nullptr && std::holds_alternative<ShardSet>(route->target);
+}
+
 /// Returns the key under which latencies are recorded: the service, or the route, because the shards of one route are
 /// alike.
 inline const std::string &latencyKeyOf(const ActiveQuery &query, const ServerRecord &server)
--- a/lib/Kernel/RateLimitSteps.cpp
+++ b/lib/Kernel/RateLimitSteps.cpp
@@ -96,7 +96,9 @@
     assert(query.route != nullptr && "only servers of routes state limits");
     Instant latestStart = query.request.deadline - REPLY_MARGIN;
     if (std::holds_alternative<ShardSet>(query.route->target) && !query.pastObjective) {
-        latestStart = std::min(latestStart, query.request.arrival + query.route->latencyObjective - OBJECTIVE_MARGIN);
+        const ShardSelection *selection = query.selection();
+        const Instant objective = selection != nullptr ? selection->answerBy : query.request.arrival + query.route->latencyObjective - OBJECTIVE_MARGIN;
+        latestStart = std::min(latestStart, objective);
     }
     // A request that starts later could not be answered in time.
     return now + wait + this->groupState(query.key).meanDuration >= latestStart;
--- a/lib/Model/Route.cpp
+++ b/lib/Model/Route.cpp
@@ -2,6 +2,7 @@
 /// Route matching and the derivation of route groups.
 #include "ragwortcart/Model/Route.h"
 
+#include "ragwortcart/Support/Hash.h"
 #include "ragwortcart/Support/Visitor.h"
 
 #include <algorithm>
@@ -39,6 +40,18 @@
                       target);
 }
 
+static std::uint64_t revisionOf(const Route &route)
+{
+    std::uint64_t revision = stableHash(route.name);
+    for (const std::string &service : servicesOf(route.target)) {
+        revision = stableHash(service, revision);
+    }
+    if (const auto *shards = std::get_if<ShardSet>(&route.target)) {
+        revision = stableHash(std::to_string(shards->topRecordCount), revision);
+    }
+    return stableHash(std::to_string(route.kind.minimumCoverage), revision);
+}
+
 void deriveRouteGroups(RouteTable &table)
 {
     std::map<std::string, int> lowestPriority;
@@ -50,6 +63,7 @@
             key += '/' + name;
         }
         route.group.name = key;
+        route.revision = revisionOf(route);
         route.kind.name = route.name;
         route.kind.group = key;
         const auto [lowest, inserted] = lowestPriority.try_emplace(key, route.priority);
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -336,6 +336,7 @@
         return;
     }
     this->options.topology.publish(this->registry.build(*this->routes));
+    this->updateDesiredPeers();
     const bool nowReady = this->registry.size() > 0;
     if (nowReady && !this->isReady.exchange(true)) {
         logEvent(LogLevel::info,
@@ -408,8 +409,10 @@
 
 void RouteControl::publishInstanceEntry()
 {
-    const InstanceItem self{
-        .name = this->options.instance, .domain = this->options.domain, .peerAddress = this->links ? this->options.peersAddress : std::string()};
+    const InstanceItem self{.name = this->options.instance,
+                            .domain = this->options.domain,
+                            .peerAddress = this->links ? this->options.peersAddress : std::string(),
+                            .capacity = this->options.capacity};
     this->storeCalls.add();
     this->options.store.put(
         this->options.format.instanceKey(self.name), this->options.format.encodeInstance(self), this->lease, [this](const Result<StoreRevision> &written) {
--- a/lib/Runtime/RouteControlPeers.cpp
+++ b/lib/Runtime/RouteControlPeers.cpp
@@ -4,6 +4,7 @@
 #include "ragwortcart/Runtime/RouteControl.h"
 #include "ragwortcart/Support/Log.h"
 #include "ragwortcart/Support/Visitor.h"
+#include "ragwortcart/Wire/PartialQueryCodec.h"
 #include "ragwortcart/Wire/PeerCodec.h"
 
 namespace ragwort {
@@ -19,10 +20,44 @@
         }
         this->performChangeFeedActions();
     };
-    return queuedLinkHandlers(*this,
-                              {.onPeerConnected = [onLink](const std::string &peer) { onLink(peer, true); },
-                               .onPeerDisconnected = [onLink](const std::string &peer) { onLink(peer, false); },
-                               .onMessage = [this](const std::string &peer, const std::string &bytes) { this->onPeerBytes(peer, bytes); }});
+    const PeerLinks::Handlers queued
+        = queuedLinkHandlers(*this,
+                             {.onPeerConnected = [onLink](const std::string &peer) { onLink(peer, true); },
+                              .onPeerDisconnected = [onLink](const std::string &peer) { onLink(peer, false); },
+                              .onMessage = [this](const std::string &peer, const std::string &bytes) { this->onPeerBytes(peer, bytes); }});
+    // Messages of divided queries bypass the control thread.
+    return {.onPeerConnected =
+                [this, queued](const std::string &peer) {
+                    this->options.onPeerLink(peer, true);
+                    queued.onPeerConnected(peer);
+                },
+            .onPeerDisconnected =
+                [this, queued](const std::string &peer) {
+                    this->options.onPeerLink(peer, false);
+                    queued.onPeerDisconnected(peer);
+                },
+            .onMessage =
+                [this, queued](const std::string &peer, const std::string &bytes) {
+                    if (isPartialQueryMessage(bytes)) {
+                        this->options.onPartialQueryMessage(peer, bytes);
+                    } else {
+                        queued.onMessage(peer, bytes);
+                    }
+                }};
+}
+
+void RouteControl::sendToPeer(const std::string &peer, const std::string &bytes)
+{
+    if (PeerLinks *started = this->startedLinks.load(std::memory_order_acquire)) {
+        started->send(peer, bytes);
+    }
+}
+
+void RouteControl::stopLinks()
+{
+    if (this->links) {
+        this->links->stop();
+    }
 }
 
 void RouteControl::startPeerLinks()
@@ -39,6 +74,7 @@
         return;
     }
     this->links = std::move(peerLinks);
+    this->startedLinks.store(this->links.get(), std::memory_order_release);
     connect(&this->changeFeedTimer, &QTimer::timeout, this, [this] {
         this->changeFeed.advance(steadyNow());
         this->performChangeFeedActions();
@@ -138,9 +174,12 @@
 
 void RouteControl::updateDesiredPeers()
 {
-    if (this->links) {
-        this->links->setDesiredPeers(this->changeFeed.desiredPeers());
+    if (!this->links) {
+        return;
     }
+    std::map<std::string, std::string> desired = this->changeFeed.desiredPeers();
+    desired.insert(this->registry.aggregatorAddresses().begin(), this->registry.aggregatorAddresses().end());
+    this->links->setDesiredPeers(desired);
 }
 
 void RouteControl::updateWatchState()
--- a/lib/Runtime/RouteProcess.cpp
+++ b/lib/Runtime/RouteProcess.cpp
@@ -31,10 +31,14 @@
                .extraLoad = this->options.settings.extraLoad,
                .registry = {.instance = this->options.settings.instance,
                             .domain = this->options.settings.domain,
+                            .capacity = this->options.settings.capacity,
                             .coldRateFactor = this->options.settings.coldRateFactor,
                             .coldRateAddition = this->options.settings.coldRateAddition},
                .watchWait = this->options.settings.watchWait,
                .relayWatchWait = this->options.settings.relayWatchWait,
+               .capacity = this->options.settings.capacity,
+               .onPartialQueryMessage = [this](const std::string &peer, const std::string &bytes) { this->worker.onPartialQueryMessage(peer, bytes); },
+               .onPeerLink = [this](const std::string &peer, bool up) { this->worker.onPeerLink(peer, up); },
                .onRoutes =
                    [this](const RouteTable &table) {
                        this->worker.setCallerRequestLimits({.maximumHeaderBytes = table.limits.headerBytes,
@@ -57,6 +61,7 @@
               .control = [](const ControlRequest &) {},
               .callerProtocol = this->options.callerProtocol,
               .backendProtocol = this->options.backendProtocol,
+              .sendToPeer = [this](const std::string &peer, const std::string &bytes) { this->control.sendToPeer(peer, bytes); },
               .cancelGrace = CANCEL_GRACE,
               .seed = stableHash(this->options.settings.instance, static_cast<std::uint64_t>(wallClockMs()))})
     , readinessServer(this->operatorLoop,
@@ -76,6 +81,7 @@
 
 RouteProcess::~RouteProcess()
 {
+    this->control.stopLinks();
     this->worker.stopAndJoin();
     this->operatorLoop.stop();
     if (this->operatorThread.joinable()) {
--- a/lib/Runtime/Worker.cpp
+++ b/lib/Runtime/Worker.cpp
@@ -6,6 +6,7 @@
 #include "ragwortcart/Support/Hash.h"
 #include "ragwortcart/Support/Log.h"
 #include "ragwortcart/Support/Visitor.h"
+#include "ragwortcart/Wire/PartialQueryCodec.h"
 
 #include <cassert>
 #include <random>
@@ -33,6 +34,7 @@
     , wakeup(this->loop)
     , subRequests(this->options.metrics.counter("ragwort_sub_requests_total"))
     , acceptedQueries(this->options.metrics.counter("ragwort_queries_total"))
+    , acceptedBranches(this->options.metrics.counter("ragwort_partial_queries_total"))
 {
 }
 
@@ -130,9 +132,14 @@
     engineWorker.post([this, &engineWorker, query = std::move(query), exchange] { engineWorker.acceptQuery(query, *this, exchange); });
 }
 
+QueryId Worker::nextQueryId()
+{
+    return ++this->queryCount * static_cast<QueryId>(this->options.count) + static_cast<QueryId>(this->options.index);
+}
+
 void Worker::acceptQuery(QueryRequest request, Worker &ingress, const std::shared_ptr<HttpExchange> &exchange)
 {
-    request.id = ++this->queryCount * static_cast<QueryId>(this->options.count) + static_cast<QueryId>(this->options.index);
+    request.id = this->nextQueryId();
     if (request.traceParent.empty()) {
         const std::uint64_t high = stableHash(this->options.instance, request.id);
         const std::uint64_t low = stableHash(this->options.instance, ~request.id ^ this->options.seed);
@@ -206,6 +213,8 @@
                            Worker &owner = this->connectionOwner(cancel.serverId);
                            owner.runOrPost(*this, [&owner, query = cancel.query, attempt = cancel.attempt] { owner.client.cancel(query, attempt); });
                        },
+                       [this](const SendPartialQuery &send) { this->options.sendToPeer(send.aggregator, encodePartialQueryMessage(send.request)); },
+                       [this](const CancelPartialQuery &cancel) { this->options.sendToPeer(cancel.aggregator, encodePartialQueryMessage(cancel.cancel)); },
                        [this](const ReplyToCaller &answered) { this->reply(answered.answer); },
                        [this](const RequestClaim &claim) { this->options.control(claim); },
                        [this](const RecordClaimOutcome &outcome) { this->options.control(outcome); },
@@ -266,6 +275,12 @@
     const OpenQuery query = std::move(found->second);
     this->queriesById.erase(found);
     const Duration elapsed = steadyNow() - query.arrival;
+    if (query.branch) {
+        this->logAnswer(answer, query, elapsed, 0);
+        this->replyToCoordinator(*query.branch, answer);
+        this->openQueryCount.fetch_sub(1, std::memory_order_acq_rel);
+        return;
+    }
     this->latencyHistogramFor(query.team, query.kind).record(elapsed);
     this->options.metrics.counter("ragwort_answers_total", "reason=\"" + answer.reason + "\",success=\"" + (answer.success ? "true" : "false") + '"').add();
     HttpResponse response
@@ -299,7 +314,8 @@
                      {.key = "attempts", .value = std::to_string(answer.attempts)},
                      {.key = "hedges", .value = std::to_string(answer.hedges)},
                      {.key = "retries", .value = std::to_string(answer.retries)},
-                     {.key = "retry_after_ms", .value = std::to_string(toMs(answer.retryAfter))}});
+                     {.key = "retry_after_ms", .value = std::to_string(toMs(answer.retryAfter))},
+                     {.key = "coordinator", .value = query.branch ? query.branch->coordinator : std::string("this")}});
 }
 
 static bool isLoggedAtInfo(Reason reason)
@@ -327,6 +343,10 @@
     case Reason::serverPauseEnded:
     case Reason::serverLeaving:
     case Reason::heldBackByServers:
+    case Reason::handedOver:
+    case Reason::aggregatorRefused:
+    case Reason::aggregatorSilent:
+    case Reason::refusedRouteDiffers:
         return true;
     default:
         return false;
--- a/unittests/Kernel/ForwardStepsTest.cpp
+++ b/unittests/Kernel/ForwardStepsTest.cpp
@@ -27,7 +27,7 @@
     const MergedRecords *merged = mergedOf(harness.replies[0]);
     ASSERT_NE(merged, nullptr);
     EXPECT_EQ(merged->signatures.size(), 10U);
-    EXPECT_EQ(merged->missingShards, 0U);
+    EXPECT_EQ(merged->missingShards.size(), 0U);
     EXPECT_EQ(merged->body.size(), 3U * 16U);
     EXPECT_EQ(harness.permitsInUse(), 0);
     EXPECT_TRUE(harness.engine.idle());
@@ -47,7 +47,7 @@
     ASSERT_EQ(harness.replies.size(), 1U);
     EXPECT_EQ(harness.replies[0].reason, "objective-reached");
     ASSERT_NE(mergedOf(harness.replies[0]), nullptr);
-    EXPECT_EQ(mergedOf(harness.replies[0])->missingShards, 1U);
+    EXPECT_EQ(mergedOf(harness.replies[0])->missingShards.size(), 1U);
     harness.endCancelled();
     EXPECT_EQ(harness.permitsInUse(), 0);
 }
@@ -607,7 +607,7 @@
     ASSERT_EQ(harness.replies.size(), 2U);
     EXPECT_EQ(harness.replies[1].routesVersion, 2U);
     EXPECT_EQ(mergedOf(harness.replies[1])->signatures.size(), 3U);
-    EXPECT_EQ(mergedOf(harness.replies[1])->missingShards, 0U);
+    EXPECT_EQ(mergedOf(harness.replies[1])->missingShards.size(), 0U);
 }
 
 } // namespace ragwort
--- a/unittests/Kernel/RouteHarness.h
+++ b/unittests/Kernel/RouteHarness.h
@@ -65,6 +65,7 @@
         auto next = std::make_shared<Topology>();
         next->version = ++this->version;
         next->liveInstances = this->instances;
+        next->division = this->division;
         for (const auto &[id, server] : this->servers) {
             next->servers[id] = server;
             next->services[server->identity.service].push_back(server);
@@ -72,14 +73,17 @@
         this->topology.publish(next);
     }
 
-    QueryId submit(const std::string &name = "gather", Duration timeLeft = std::chrono::milliseconds(1500))
+    /// Submits a query of a caller, or of a coordinator if it selects shards.
+    QueryId submit(const std::string &name = "gather",
+                   Duration timeLeft = std::chrono::milliseconds(1500),
+                   const std::optional<ShardSelection> &selection = std::nullopt)
     {
         auto forwarded = std::make_shared<ForwardedRequest>();
         forwarded->method = "GET";
         forwarded->target = "/x/" + std::to_string(++this->lastQuery);
         QueryRequest request{.id = this->lastQuery, .team = "host", .kind = name, .arrival = this->now, .deadline = this->now + timeLeft};
         request.fingerprint = this->lastQuery;
-        request.work = ForwardedCall{.request = forwarded, .route = name};
+        request.work = ForwardedCall{.request = forwarded, .route = name, .selection = selection};
         this->handle(QueryArrived{.request = request});
         return this->lastQuery;
     }
@@ -112,6 +116,10 @@
                 this->replies.push_back(reply->answer);
             } else if (const auto *cancel = std::get_if<CancelSubRequest>(&action)) {
                 this->cancelled.push_back(*cancel);
+            } else if (const auto *branch = std::get_if<SendPartialQuery>(&action)) {
+                this->branches.push_back(*branch);
+            } else if (const auto *cancelledBranch = std::get_if<CancelPartialQuery>(&action)) {
+                this->cancelledBranches.push_back(*cancelledBranch);
             } else if (const auto *decision = std::get_if<ReportDecision>(&action)) {
                 this->reasons.push_back(decision->reason);
             }
@@ -188,6 +196,9 @@
     std::vector<Answer> replies;
     std::vector<Reason> reasons;
     std::vector<CancelSubRequest> cancelled;
+    std::vector<SendPartialQuery> branches;
+    std::vector<CancelPartialQuery> cancelledBranches;
+    QueryDivision division;
     Instant now{std::chrono::seconds(1000)};
     std::uint64_t version = 0;
     int instances = 1;
--- a/unittests/Platform/RouteProcessTest.cpp
+++ b/unittests/Platform/RouteProcessTest.cpp
@@ -52,7 +52,8 @@
                                                                                           .readyAddress = "127.0.0.1:" + std::to_string(READY_PORT),
                                                                                           .metricsAddress = "127.0.0.1:" + std::to_string(METRICS_PORT),
                                                                                           .peersAddress = "127.0.0.1:" + std::to_string(PEERS_PORT),
-                                                                                          .stopTimeout = std::chrono::seconds(2)},
+                                                                                          .stopTimeout = std::chrono::seconds(2),
+                                                                                          .capacity = this->ownCapacity()},
                                                                              .store = *this->client,
                                                                              .storeFormat = this->format,
                                                                              .callerProtocol = this->callers,
@@ -72,8 +73,14 @@
         });
     }
 
+    /// Returns the capacity of the first instance.
+    virtual double ownCapacity() const
+    {
+        return 0.0;
+    }
+
     /// Starts another instance in the same failure domain. Peer numbers start at 2.
-    void startPeer(int number)
+    void startPeer(int number, double capacity = 0.0)
     {
         const auto address = [number](int port) { return "127.0.0.1:" + std::to_string(port + PORT_STRIDE_PER_INSTANCE * (number - 1)); };
         Peer peer;
@@ -84,7 +91,8 @@
                                                                                          .readyAddress = address(READY_PORT),
                                                                                          .metricsAddress = address(METRICS_PORT),
                                                                                          .peersAddress = address(PEERS_PORT),
-                                                                                         .stopTimeout = std::chrono::seconds(2)},
+                                                                                         .stopTimeout = std::chrono::seconds(2),
+                                                                                         .capacity = capacity},
                                                                             .store = *peer.client,
                                                                             .storeFormat = this->format,
                                                                             .callerProtocol = this->callers,
@@ -246,8 +254,75 @@
     std::unique_ptr<RouteProcess> process;
 };
 
+/// The first instance is too weak to gather the four shards in time.
+class DividedQueryTest : public RouteProcessTest
+{
+protected:
+    double ownCapacity() const override
+    {
+        return 0.002;
+    }
+
+    /// Returns the value of a counter of an instance, or 0 if it does not exist.
+    int counter(int number, const std::string &name)
+    {
+        const std::string line = '\n' + name + "{} ";
+        const std::string metrics = this->get(METRICS_PORT + PORT_STRIDE_PER_INSTANCE * (number - 1), "/metrics");
+        const std::size_t found = metrics.find(line);
+        return found == std::string::npos ? 0 : std::stoi(metrics.substr(found + line.size()));
+    }
+
+    int gatheredByPeers()
+    {
+        return this->counter(2, "ragwort_partial_queries_total") + this->counter(3, "ragwort_partial_queries_total");
+    }
+
+    std::string query()
+    {
+        ++this->queries;
+        return this->get(CALLERS_PORT, "/g/" + std::to_string(this->queries), "id" + std::to_string(this->queries));
+    }
+
+    int queries = 0;
+};
+
 } // namespace
 
+/// The whole way over sockets: a weak instance, two aggregators, the servers and back.
+TEST_F(DividedQueryTest, aWeakInstanceReturnsWhatAnAggregatorHasGathered)
+{
+    this->startAll();
+    this->startPeer(2, 1.0);
+    this->startPeer(3, 1.0);
+    ASSERT_TRUE(pumpUntil([this] {
+        EXPECT_EQ(statusOf(this->query()), 200);
+        return this->gatheredByPeers() > 0;
+    }));
+    const int before = this->gatheredByPeers();
+    for (int round = 0; round < 20; ++round) {
+        const std::string answer = this->query();
+        EXPECT_EQ(statusOf(answer), 200);
+        EXPECT_NE(answer.find("X-Missing-Parts: 0"), std::string::npos);
+    }
+    EXPECT_EQ(this->gatheredByPeers() - before, 20);
+}
+
+TEST_F(DividedQueryTest, queriesGoOnWhenTheAggregatorsAreGone)
+{
+    this->startAll();
+    this->startPeer(2, 1.0);
+    this->startPeer(3, 1.0);
+    ASSERT_TRUE(pumpUntil([this] {
+        this->query();
+        return this->gatheredByPeers() > 0;
+    }));
+    this->peers.clear();
+    ASSERT_TRUE(pumpUntil([this] { return this->query().find("X-Missing-Parts: 0") != std::string::npos; }));
+    for (int round = 0; round < 10; ++round) {
+        EXPECT_EQ(statusOf(this->query()), 200);
+    }
+}
+
 TEST_F(RouteProcessTest, answers503WithRetryAfterBeforeFirstConfiguration)
 {
     EXPECT_FALSE(this->ready());
