Control: an instance prefers replicas in its own failure domain

Aggregators have connections to all replicas and chose by expected wait alone; servers differ by more than the 7 ms that the way to another domain costs, so that more than half of the parts crossed.

Change: a replica in another domain has a penalty of 8 ms while the own domain has one that is not excluded.

Result: test fails before.

--- a/include/ragwortcart/Control/ServerRegistry.h
+++ b/include/ragwortcart/Control/ServerRegistry.h
@@ -119,8 +119,8 @@
     std::set<std::string> holdingDomains() const;
     QueryDivision makeDivision();
     void updateShare(const Server &server, const RouteTable &routes) const;
-    /// If the connections of a service's servers are scarce, ranks the replicas, those in the own failure domain first,
-    /// and sets the idle timeout of the connections.
+    /// Sets how much faster a replica must be to be preferred: those in other failure domains, and if the connections of a service's servers are
+    /// scarce all but one. Sets the idle timeout of scarce connections.
     void updateReplicaAffinity(std::span<const ServerPointer> replicas, const ConnectionShares &shares) const;
     int instancesIn(const std::string &domain) const;
     /// Returns how many of the instances that share connections with this one precede it in the order in which they may hold connections to the
--- a/include/ragwortcart/Kernel/ServerRecord.h
+++ b/include/ragwortcart/Kernel/ServerRecord.h
@@ -191,9 +191,8 @@
     std::atomic<bool> connectionAssigned{true};
     /// Idle timeout of connections to the server, in microseconds; zero if its connections are not scarce.
     std::atomic<std::int64_t> idleTimeoutUs{0};
-    /// Penalty in microseconds that keeps an instance on one replica of a service while connections are scarce. Another
-    /// replica is chosen only if it is faster by this amount. Zero for the preferred replica, and for all replicas if
-    /// connections are not scarce.
+    /// Penalty in microseconds: the replica is chosen only if it is faster by this amount. It keeps an instance to the replicas in its failure
+    /// domain and, while connections are scarce, to one replica of a service. Zero for the preferred replicas.
     std::atomic<std::int64_t> affinityPenaltyUs{0};
     /// Number of permits in use: requests that the server may be running.
     std::atomic<int> inFlight{0};
--- a/lib/Control/ServerRegistry.cpp
+++ b/lib/Control/ServerRegistry.cpp
@@ -22,6 +22,9 @@
 /// Affinity penalty per rank in an instance's order of replicas: the latency advantage that a replica needs over the
 /// one before it, more than the cost of a new connection.
 static constexpr Duration AFFINITY_PENALTY_STEP = std::chrono::milliseconds(6);
+/// Latency advantage that a replica in another failure domain needs over one in the own domain, beyond what the way there costs: responses that
+/// cross domains share narrower links.
+static constexpr Duration CROSS_DOMAIN_PENALTY = std::chrono::milliseconds(8);
 /// Scarce connections are closed after this idle time. Those to replicas other than the preferred one are closed to
 /// leave room for instances that restart while the servers still hold the connections of their previous processes. All
 /// are closed if there are connections for fewer than half of the instances, which then have to take turns.
@@ -280,9 +283,14 @@
         return std::pair(server->inOtherDomain.load(std::memory_order_relaxed), stableHash(this->options.instance, stableHash(server->identity.id)));
     };
     std::sort(ordered.begin(), ordered.end(), [&order](const ServerPointer &left, const ServerPointer &right) { return order(left) < order(right); });
+    const bool hasNearReplica = std::any_of(ordered.begin(), ordered.end(), [](const ServerPointer &server) {
+        return !server->inOtherDomain.load(std::memory_order_relaxed) && !server->isExcluded();
+    });
     std::int64_t penalty = 0;
     for (const ServerPointer &server : ordered) {
-        server->affinityPenaltyUs.store(scarce ? penalty : 0, std::memory_order_relaxed);
+        const bool far = hasNearReplica && server->inOtherDomain.load(std::memory_order_relaxed);
+        const std::int64_t distancePenalty = far ? CROSS_DOMAIN_PENALTY.count() : 0;
+        server->affinityPenaltyUs.store((scarce ? penalty : 0) + distancePenalty, std::memory_order_relaxed);
         const bool shortensIdleTimeout = timeShared || (scarce && penalty > 0);
         server->idleTimeoutUs.store(shortensIdleTimeout ? SCARCE_IDLE_TIMEOUT.count() : 0, std::memory_order_relaxed);
         // A replica that accepts no new work occupies no rank.
--- a/unittests/Control/ServerRegistryTest.cpp
+++ b/unittests/Control/ServerRegistryTest.cpp
@@ -273,6 +273,19 @@
     EXPECT_LE(idleTimeoutsUs(300).first, Duration(seconds(1)).count());
 }
 
+/// Guards against parts that cross failure domains although a replica of the own domain is as good.
+TEST_F(ServerRegistryTest, prefersTheReplicasOfTheOwnDomainAlsoIfConnectionsAreNotScarce)
+{
+    this->registry.set(entry("near"), this->now);
+    this->registry.set(entry("far", "b"), this->now);
+    EXPECT_EQ(this->find("near")->affinityPenaltyUs, 0);
+    EXPECT_GT(this->find("far")->affinityPenaltyUs, 0);
+    ServerEntry leaving = entry("near");
+    leaving.draining = true;
+    this->registry.set(leaving, this->now);
+    EXPECT_EQ(this->find("far")->affinityPenaltyUs, 0) << "no replica is left in the own domain";
+}
+
 /// After a power failure of all machines, the servers still hold the connections of the previous processes. All
 /// instances can connect again only if they use less than half of a server's connections.
 TEST(ServerRegistryConnectionsTest, scarceConnectionsGiveEachInstanceOnePreferredReplicaAndUseLessThanHalfOfThem)
