Control: a fleet that starts makes fewer calls of the store

Cause: each instance listed the store, then watched it until a relay was linked; when all start at once, each entry that the others write ended its watch, 250 ms apart at first.

Change: the first lists may be stale (a tenth of a call), changes since then come from relays, whose digests confirm them; an instance watches the store itself if no relay does within 2.5 s. The strongest instances are relays and serve more followers. Leases of 30 s, renewed every 9 s. ragwort_store_calls_total has a label for the kind.

Tests: relays by capacity, and three processes that start without listing the latest contents.

--- a/include/ragwortcart/Control/MetadataStore.h
+++ b/include/ragwortcart/Control/MetadataStore.h
@@ -59,6 +59,9 @@
     Duration lifetime{};
 };
 
+/// Whether a read returns the latest contents or may return older ones, at a lower cost to the store.
+enum class ReadConsistency { latest, possiblyStale };
+
 /// All calls are asynchronous; callbacks run in the caller's thread. The store client does not retry calls. Errors:
 /// `Errc::historyGone` for a watch from a revision that is no longer retained, `Errc::notFound` for a lease that has
 /// ended, `Errc::conflict` for a condition that does not hold, `Errc::timeout` and `Errc::storeUnavailable` otherwise.
@@ -68,7 +71,8 @@
     virtual ~MetadataStore() = default;
 
     /// Reads the items whose keys begin with \p prefix and sort after \p afterKey.
-    virtual void readRange(const std::string &prefix, const std::string &afterKey, std::function<void(Result<StorePage>)> callback) = 0;
+    virtual void readRange(const std::string &prefix, const std::string &afterKey, ReadConsistency consistency, std::function<void(Result<StorePage>)> callback)
+        = 0;
     /// Completes when an item under \p prefix has changed after \p revision, or after \p wait without events.
     virtual void watch(const std::string &prefix, StoreRevision revision, Duration wait, std::function<void(Result<StoreEvents>)> callback) = 0;
     virtual void grantLease(Duration lifetime, std::function<void(Result<StoreLease>)> callback) = 0;
--- a/include/ragwortcart/Control/StoreChangeFeed.h
+++ b/include/ragwortcart/Control/StoreChangeFeed.h
@@ -74,8 +74,8 @@
         /// Minimum number of instances of each failure domain that watch the store for the others: the loss of one
         /// causes no gap.
         std::size_t minRelays = 2;
-        /// Instances of a failure domain per relay: a relay sends each change to about this many, as many as a small
-        /// machine's processor and network link allow.
+        /// Instances of a failure domain per relay: a relay sends each change to about this many, as many as the processor and network link
+        /// of the weakest instance allow. Relays with more capacity serve proportionally more.
         std::size_t instancesPerRelay = 25;
         /// A peer that has been silent for this long is not used as a source.
         Duration peerTimeout = std::chrono::milliseconds(1600);
@@ -130,6 +130,11 @@
     {
         return this->unconfirmed;
     }
+    /// Returns whether the list names instances that watch the store for this one.
+    bool hasRelays() const
+    {
+        return !this->relay && !this->relaysOf(this->options.domain).empty();
+    }
     const std::optional<std::string> &sourcePeer() const
     {
         return this->source;
--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -92,6 +92,7 @@
     /// Accumulates the store's items while they are read page by page.
     struct Listing
     {
+        ReadConsistency consistency = ReadConsistency::latest;
         std::vector<StoreItem> items;
         StoreRevision revision = 0;
         /// When the first page was requested. The list contains all changes made before.
@@ -123,7 +124,10 @@
     };
 
     // Watching the store (RouteControl.cpp).
-    void listStore();
+    void listStore(ReadConsistency consistency = ReadConsistency::latest);
+    /// After a list that may be stale, waits for a relay to forward the changes since, so that most instances start without a watch of their
+    /// own. Lists the store again if no relay is known yet, and watches it if none forwards changes in time.
+    void awaitRelay();
     void listPage(const std::shared_ptr<Listing> &listing, const std::string &afterKey);
     /// Replaces the previous state by a listing, unless later changes are known.
     void applyListing(const Listing &listing);
@@ -180,8 +184,12 @@
     /// Lease of this instance's own entry. 0 before the first lease is granted.
     LeaseId lease = 0;
     bool leaving = false;
-    /// True while a peer forwards the events and no watch or listing of the store is pending or scheduled.
+    /// True while a peer forwards the events and no watch or listing of the store is pending or scheduled, and while a relay is awaited.
     bool watchSuspended = false;
+    /// Until then, a relay is awaited after the start.
+    Instant awaitRelayUntil{};
+    /// Number of lists after the start that named no relay.
+    int listsWithoutRelay = 0;
     /// Source of store events that was logged last. Empty if this instance watches the store.
     std::string loggedSource;
     /// Set by the second consecutive failure. Cleared by the next response of the store or when a peer forwards the events.
@@ -196,7 +204,17 @@
     QTimer changeFeedTimer;
     std::atomic<bool> isReady{false};
     StoreGauges gauges;
-    Counter &storeCalls;
+    /// Calls of the store, by kind.
+    struct StoreCalls
+    {
+        Counter &lists;
+        Counter &staleLists;
+        Counter &watches;
+        Counter &grants;
+        Counter &renewals;
+        Counter &writes;
+    };
+    StoreCalls storeCalls;
     /// Declared last, so that its thread ends before the members that it calls are destroyed. Null without peer links.
     std::unique_ptr<PeerLinks> links;
     /// `links` once they are started, for other threads.
--- a/lib/Control/StoreChangeFeed.cpp
+++ b/lib/Control/StoreChangeFeed.cpp
@@ -62,15 +62,28 @@
 
 std::vector<std::string> StoreChangeFeed::relaysOf(const std::string &domain) const
 {
-    std::vector<std::string> names;
+    std::vector<const InstanceItem *> candidates;
+    double leastCapacity = 0.0;
     for (const auto &[name, instanceItem] : this->instances) {
         if (instanceItem.domain == domain) {
-            names.push_back(name);
+            candidates.push_back(&instanceItem);
+            const bool least = instanceItem.capacity > 0.0 && (leastCapacity == 0.0 || instanceItem.capacity < leastCapacity);
+            leastCapacity = least ? instanceItem.capacity : leastCapacity;
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const InstanceItem *left, const InstanceItem *right) {
+        return left->capacity != right->capacity ? left->capacity > right->capacity : precedes(left->name, right->name);
+    });
+    std::vector<std::string> names;
+    double served = 0.0;
+    for (const InstanceItem *candidate : candidates) {
+        if (names.size() >= this->options.minRelays && served >= static_cast<double>(candidates.size())) {
+            break;
         }
+        const double strength = leastCapacity > 0.0 ? std::max(candidate->capacity / leastCapacity, 1.0) : 1.0;
+        served += strength * static_cast<double>(this->options.instancesPerRelay);
+        names.push_back(candidate->name);
     }
-    std::sort(names.begin(), names.end(), precedes);
-    const std::size_t wanted = std::max(this->options.minRelays, (names.size() + this->options.instancesPerRelay - 1) / this->options.instancesPerRelay);
-    names.resize(std::min(names.size(), wanted));
     return names;
 }
 
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -21,10 +21,19 @@
 static constexpr Duration INITIAL_RETRY_DELAY = std::chrono::milliseconds(100);
 static constexpr Duration MAXIMUM_RETRY_DELAY = std::chrono::milliseconds(800);
 /// Time without renewal after which the store deletes an instance's entry, for example after a crash.
-static constexpr Duration LEASE_TTL = std::chrono::seconds(10);
-static constexpr Duration LEASE_RENEWAL_INTERVAL = std::chrono::seconds(3);
+static constexpr Duration LEASE_TTL = std::chrono::seconds(30);
+static constexpr Duration LEASE_RENEWAL_INTERVAL = std::chrono::seconds(9);
 static constexpr Duration LEASE_RETRY_DELAY = std::chrono::seconds(1);
 
+/// Interval between the lists of an instance that has started and knows no relay, and their number before it watches the store itself.
+static constexpr Duration START_LIST_INTERVAL = std::chrono::milliseconds(400);
+static constexpr int MAXIMUM_START_LISTS = 5;
+/// Time for the link to a relay and the first two digests. An instance that has started receives changes this late at most.
+static constexpr Duration RELAY_WAIT = std::chrono::milliseconds(2500);
+/// Age that the contents of a possibly stale list are taken to have.
+static constexpr Duration STALE_LIST_AGE = std::chrono::seconds(10);
+static constexpr const char *STORE_CALLS = "ragwort_store_calls_total";
+
 /// Fraction of the extra load budget available to hedges. The rest is reserved for retries.
 static constexpr double HEDGE_SHARE = 0.5;
 /// Concurrently admitted queries of a route per slot of its shard with the fewest slots. Above 1, because the other shards are
@@ -43,7 +52,12 @@
     , registry(this->options.registry)
     , changeFeed(
           {.instance = this->options.instance, .domain = this->options.domain, .confirmationTimeout = this->options.relayWatchWait + CONFIRMATION_MARGIN})
-    , storeCalls(this->options.metrics.counter("ragwort_store_calls_total"))
+    , storeCalls({.lists = this->options.metrics.counter(STORE_CALLS, "kind=\"list\""),
+                  .staleLists = this->options.metrics.counter(STORE_CALLS, "kind=\"stale-list\""),
+                  .watches = this->options.metrics.counter(STORE_CALLS, "kind=\"watch\""),
+                  .grants = this->options.metrics.counter(STORE_CALLS, "kind=\"grant-lease\""),
+                  .renewals = this->options.metrics.counter(STORE_CALLS, "kind=\"renew-lease\""),
+                  .writes = this->options.metrics.counter(STORE_CALLS, "kind=\"write\"")})
 {
     this->registerGauges();
     this->expiryTimer.setSingleShot(true);
@@ -58,7 +72,7 @@
 void RouteControl::start()
 {
     this->startPeerLinks();
-    this->listStore();
+    this->listStore(this->links ? ReadConsistency::possiblyStale : ReadConsistency::latest);
     this->grantLease();
 }
 
@@ -72,17 +86,20 @@
     }
 }
 
-void RouteControl::listStore()
+void RouteControl::listStore(ReadConsistency consistency)
 {
     auto listing = std::make_shared<Listing>();
+    listing->consistency = consistency;
+    this->watchSuspended = false;
     listing->requestedAt = steadyNow();
     this->listPage(listing, {});
 }
 
 void RouteControl::listPage(const std::shared_ptr<Listing> &listing, const std::string &afterKey)
 {
-    this->storeCalls.add();
-    this->options.store.readRange({}, afterKey, [this, listing](Result<StorePage> page) {
+    const bool possiblyStale = listing->consistency == ReadConsistency::possiblyStale;
+    (possiblyStale ? this->storeCalls.staleLists : this->storeCalls.lists).add();
+    this->options.store.readRange({}, afterKey, listing->consistency, [this, listing, possiblyStale](Result<StorePage> page) {
         if (!page) {
             this->onStoreFailure(page.error(), true);
             return;
@@ -100,13 +117,44 @@
             return;
         }
         this->applyListing(*listing);
-        this->watch();
+        if (possiblyStale) {
+            this->awaitRelay();
+        } else {
+            this->watch();
+        }
     });
 }
 
+void RouteControl::awaitRelay()
+{
+    const bool mayList = this->listsWithoutRelay < MAXIMUM_START_LISTS;
+    if (this->changeFeed.isRelay() || (!this->changeFeed.hasRelays() && !mayList)) {
+        this->watch();
+        return;
+    }
+    const Instant now = steadyNow();
+    this->watchSuspended = true;
+    this->changeFeed.onWatchSuspended(now);
+    if (this->changeFeed.hasRelays()) {
+        this->awaitRelayUntil = now + RELAY_WAIT;
+        QTimer::singleShot(milliseconds(RELAY_WAIT), this, [this] { this->performChangeFeedActions(); });
+    } else {
+        ++this->listsWithoutRelay;
+        this->awaitRelayUntil = now + START_LIST_INTERVAL + RELAY_WAIT;
+        QTimer::singleShot(milliseconds(START_LIST_INTERVAL), this, [this] {
+            if (this->watchSuspended && !this->changeFeed.followsPeer() && !this->leaving) {
+                this->listStore(ReadConsistency::possiblyStale);
+            }
+        });
+    }
+    this->performChangeFeedActions();
+}
+
 void RouteControl::applyListing(const Listing &listing)
 {
-    if (!this->changeFeed.onListed(listing.items, listing.revision, listing.requestedAt, steadyNow())) {
+    const bool possiblyStale = listing.consistency == ReadConsistency::possiblyStale;
+    const Instant asOf = possiblyStale ? listing.requestedAt - STALE_LIST_AGE : listing.requestedAt;
+    if (!this->changeFeed.onListed(listing.items, listing.revision, asOf, steadyNow())) {
         logEvent(LogLevel::info,
                  "store-list-outdated",
                  {{.key = "revision", .value = std::to_string(listing.revision)}, {.key = "known", .value = std::to_string(this->revision)}});
@@ -155,7 +203,7 @@
         return;
     }
     this->watchSuspended = false;
-    this->storeCalls.add();
+    this->storeCalls.watches.add();
     const PendingWatch pending{.requestedAt = steadyNow(), .wait = this->nextWatchWait()};
     this->options.store.watch({}, this->revision, pending.wait, [this, pending](const Result<StoreEvents> &events) { this->onEvents(pending, events); });
 }
@@ -396,7 +444,7 @@
     if (this->leaving) {
         return;
     }
-    this->storeCalls.add();
+    this->storeCalls.grants.add();
     this->options.store.grantLease(LEASE_TTL, [this](const Result<StoreLease> &granted) {
         if (!granted) {
             QTimer::singleShot(milliseconds(LEASE_RETRY_DELAY), this, [this] { this->grantLease(); });
@@ -413,7 +461,7 @@
                             .domain = this->options.domain,
                             .peerAddress = this->links ? this->options.peersAddress : std::string(),
                             .capacity = this->options.capacity};
-    this->storeCalls.add();
+    this->storeCalls.writes.add();
     this->options.store.put(
         this->options.format.instanceKey(self.name), this->options.format.encodeInstance(self), this->lease, [this](const Result<StoreRevision> &written) {
             if (!written) {
@@ -434,7 +482,7 @@
     if (this->leaving) {
         return;
     }
-    this->storeCalls.add();
+    this->storeCalls.renewals.add();
     this->options.store.renewLease(this->lease, [this, expectedLease = this->lease](const Result<StoreLease> &renewed) {
         if (expectedLease != this->lease || this->leaving) {
             return;
--- a/lib/Runtime/RouteControlPeers.cpp
+++ b/lib/Runtime/RouteControlPeers.cpp
@@ -194,7 +194,7 @@
                   {.key = "confirmed_ms_ago", .value = std::to_string(toMs(steadyNow() - this->changeFeed.confirmedAt().value_or(steadyNow())))}});
     }
     this->updateGauges();
-    if (this->watchSuspended && !this->changeFeed.followsPeer()) {
+    if (this->watchSuspended && !this->changeFeed.followsPeer() && steadyNow() >= this->awaitRelayUntil) {
         this->watchSuspended = false;
         if (this->changeFeed.isUnconfirmed()) {
             logEvent(LogLevel::info,
--- a/unittests/Control/StoreChangeFeedTest.cpp
+++ b/unittests/Control/StoreChangeFeedTest.cpp
@@ -392,6 +392,30 @@
     this->expectAllApplied("k1");
 }
 
+/// Guards against relays on the weakest instances, and against more watches than the strongest need.
+TEST(StoreChangeFeedRelaysTest, theStrongestInstancesWatchTheStoreForMoreFollowers)
+{
+    static constexpr int INSTANCES = 60;
+    std::vector<InstanceItem> items;
+    for (int index = 0; index < INSTANCES; ++index) {
+        items.push_back({.name = "i" + std::to_string(index), .domain = "a", .peerAddress = "10.0.0.1:1", .capacity = index < 3 ? 0.5 : 0.12});
+    }
+    std::set<std::string> relays;
+    for (const InstanceItem &item : items) {
+        StoreChangeFeed feed({.instance = item.name, .domain = "a"});
+        EXPECT_FALSE(feed.hasRelays());
+        feed.replaceInstances(items);
+        if (feed.isRelay()) {
+            relays.insert(item.name);
+        }
+        EXPECT_EQ(feed.hasRelays(), !feed.isRelay());
+    }
+    EXPECT_EQ(relays.size(), 2U);
+    for (const std::string &relay : relays) {
+        EXPECT_TRUE(relay == "i0" || relay == "i1" || relay == "i2") << relay;
+    }
+}
+
 TEST_F(StoreChangeFeedTest, anInstanceWithoutPeersWatchesTheStore)
 {
     this->addInstance("a0", "a");
--- a/unittests/Platform/RouteProcessTest.cpp
+++ b/unittests/Platform/RouteProcessTest.cpp
@@ -264,9 +264,9 @@
     }
 
     /// Returns the value of a counter of an instance, or 0 if it does not exist.
-    int counter(int number, const std::string &name)
+    int counter(int number, const std::string &name, const std::string &labels = {})
     {
-        const std::string line = '\n' + name + "{} ";
+        const std::string line = '\n' + name + '{' + labels + "} ";
         const std::string metrics = this->get(METRICS_PORT + PORT_STRIDE_PER_INSTANCE * (number - 1), "/metrics");
         const std::size_t found = metrics.find(line);
         return found == std::string::npos ? 0 : std::stoi(metrics.substr(found + line.size()));
@@ -307,6 +307,23 @@
     EXPECT_EQ(this->gatheredByPeers() - before, 20);
 }
 
+/// A fleet that starts costs the store few calls: lists that may be stale are cheap, and relays tell what has changed since.
+TEST_F(DividedQueryTest, anInstanceStartsWithoutListingTheLatestContents)
+{
+    this->startAll();
+    this->startPeer(2, 1.0);
+    this->startPeer(3, 1.0);
+    ASSERT_TRUE(pumpUntil([this] {
+        this->query();
+        return this->gatheredByPeers() > 0;
+    }));
+    for (const int number : {1, 2, 3}) {
+        EXPECT_EQ(this->counter(number, "ragwort_store_calls_total", "kind=\"list\""), 0);
+        EXPECT_GE(this->counter(number, "ragwort_store_calls_total", "kind=\"stale-list\""), 1);
+        EXPECT_EQ(this->counter(number, "ragwort_store_calls_total", "kind=\"write\""), 1);
+    }
+}
+
 TEST_F(DividedQueryTest, queriesGoOnWhenTheAggregatorsAreGone)
 {
     this->startAll();
