Control: where queries are divided, near replicas are preferred more

An aggregator sends up to 135 requests at once, so that the latencies it sees differ by its own processor's queue, tens of milliseconds, more than by the server.

Change: the penalty is 25 ms where queries are divided.

--- a/lib/Control/ServerRegistry.cpp
+++ b/lib/Control/ServerRegistry.cpp
@@ -25,6 +25,9 @@
 /// Latency advantage that a replica in another failure domain needs over one in the own domain, beyond what the way there costs: responses that
 /// cross domains share narrower links.
 static constexpr Duration CROSS_DOMAIN_PENALTY = std::chrono::milliseconds(8);
+/// The same where queries are divided. An aggregator asks many shards at once, so that its latencies depend more on its own processor than on the
+/// server, and an advantage must be larger to mean anything.
+static constexpr Duration AGGREGATED_CROSS_DOMAIN_PENALTY = std::chrono::milliseconds(25);
 /// Scarce connections are closed after this idle time. Those to replicas other than the preferred one are closed to
 /// leave room for instances that restart while the servers still hold the connections of their previous processes. All
 /// are closed if there are connections for fewer than half of the instances, which then have to take turns.
@@ -286,10 +289,11 @@
     const bool hasNearReplica = std::any_of(ordered.begin(), ordered.end(), [](const ServerPointer &server) {
         return !server->inOtherDomain.load(std::memory_order_relaxed) && !server->isExcluded();
     });
+    const Duration crossDomainPenalty = this->pool.empty() ? CROSS_DOMAIN_PENALTY : AGGREGATED_CROSS_DOMAIN_PENALTY;
     std::int64_t penalty = 0;
     for (const ServerPointer &server : ordered) {
         const bool far = hasNearReplica && server->inOtherDomain.load(std::memory_order_relaxed);
-        const std::int64_t distancePenalty = far ? CROSS_DOMAIN_PENALTY.count() : 0;
+        const std::int64_t distancePenalty = far ? crossDomainPenalty.count() : 0;
         server->affinityPenaltyUs.store((scarce ? penalty : 0) + distancePenalty, std::memory_order_relaxed);
         const bool shortensIdleTimeout = timeShared || (scarce && penalty > 0);
         server->idleTimeoutUs.store(shortensIdleTimeout ? SCARCE_IDLE_TIMEOUT.count() : 0, std::memory_order_relaxed);
