Soak: queries are divided in every second run

Instances of odd seeds state too little of a core to gather all shards in time, so that each divides its queries with the other of its failure domain.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -42,6 +42,10 @@
 STALL_THRESHOLD_S = 0.25
 
 
+# Processor share of instances that gather all shards of a query in time, and of weaker ones, which divide a query among them.
+STRONG_CPU_SHARE, WEAK_CPU_SHARE = 1.0, 0.002
+
+
 class Instance:
     """An entry instance and the proxy between it and the store. Starts a new process after a short pause when the process exits."""
 
@@ -70,6 +74,7 @@
 listen.ready={self.ip}:8227
 port_range=7740,7755
 limits.max_fds=2000
+limits.cpu_share={self.deployment.cpu_share}
 platform.addr={self.ip}:8100
 bounds.contact_ms=4000
 bounds.apply_ms=3000
@@ -128,6 +133,8 @@
     """The instances, the emulated platform and the callers of one run, on a loopback network of its own (127.net.0.0/16)."""
 
     def __init__(self, seed, options, net):
+        # Queries are divided in every second run.
+        self.cpu_share = WEAK_CPU_SHARE if seed % 2 else STRONG_CPU_SHARE
         self.random = random.Random(seed)
         self.seed, self.net, self.build = seed, net, options.build
         self.folder = os.path.join(options.keep, f"seed-{seed}")
