Soak: servers that ask for pauses and leave unannounced; time without a processor is measured

The checker counts what reaches them from each instance where queries are not divided.

A test shows that the excuse is no larger than the wait.

--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -11,6 +11,9 @@
 CONTACT_S = 4.0
 DRAIN_S = 3.0
 APPLY_S = 3.0
+# A request that is on its way when a server asks an instance for a pause may still arrive within this time, and two later ones may.
+IN_FLIGHT_S = 0.5
+REQUESTS_IN_PAUSE = 2
 # An instance must not answer by an older version if the request was sent later than this after its first answer by a newer one.
 DOWNGRADE_S = 0.25
 
@@ -24,6 +27,10 @@
         self.reported_not_run = set()
         # Time at which each server was announced as leaving, by server id.
         self.leaving = {}
+        # Begin and end of the last pause that a server asked an instance for, and the requests that reached it meanwhile, by (server, instance).
+        self.pauses = {}
+        # Time at which a server first told an instance that it leaves, by (server, instance).
+        self.told_leaving = {}
         # Set of shards and time of the write of each version of the routes. A version is named by its index.
         self.versions = []
         # Newest version that each instance has answered by, and the time of that answer.
@@ -40,8 +47,9 @@
     def record_request(self, request_id, kind, target, deadline_ms):
         self.requests[request_id] = (kind, target, self.clock() + deadline_ms / 1000)
 
-    def record_run(self, backend, request, request_id, skip_deadline_check):
-        """Checks the start of an execution. A fault may delay the request on its way; skip_deadline_check is set in that case."""
+    def record_run(self, backend, request, request_id, skip_deadline_check, waited_s=0.0):
+        """Checks the start of an execution. A fault may delay the request on its way; skip_deadline_check is set in that case. waited_s is the
+        time that the caller's and the instance's processes waited for a processor since the request was sent."""
         now = self.clock()
         if request_id not in self.requests:
             self.report_violation(f"{backend.server_id} runs {request_id}, which no caller sent")
@@ -55,7 +63,7 @@
             self.report_violation(f"{request_id} must run at most once but runs again at {backend.server_id}")
         self.runs[request_id].append(backend.server_id)
         server_deadline_ms = int(request.headers.get("X-Deadline-Ms", "999999999"))
-        if now + server_deadline_ms / 1000 > deadline + DEADLINE_SLACK_MS / 1000 and not skip_deadline_check:
+        if now + server_deadline_ms / 1000 > deadline + DEADLINE_SLACK_MS / 1000 + waited_s and not skip_deadline_check:
             self.report_violation(
                 f"{request_id} arrives at {backend.server_id} with a deadline of {server_deadline_ms} ms, its caller waits {1000 * (deadline - now):.0f} ms"
             )
@@ -63,6 +71,24 @@
         if leaving_since is not None and now - leaving_since > DRAIN_S and self.fault_free_for(CONTACT_S + DRAIN_S):
             self.report_violation(f"{request_id} reaches {backend.server_id} {now - leaving_since:.2f} s after the server was announced as leaving")
 
+    def record_pause(self, server_id, instance, seconds):
+        self.pauses[server_id, instance] = [self.clock(), self.clock() + seconds, 0]
+
+    def record_leaving(self, server_id, instance):
+        self.told_leaving.setdefault((server_id, instance), self.clock())
+
+    def record_arrival(self, server_id, instance, request_id, sent_at):
+        """Checks a request that reaches a server, whether it runs there or not, against what the server has told the instance that sent it."""
+        now = self.clock()
+        pause = self.pauses.get((server_id, instance))
+        if pause is not None and pause[0] + IN_FLIGHT_S < now < pause[1]:
+            pause[2] += 1
+            if pause[2] > REQUESTS_IN_PAUSE:
+                self.report_violation(f"{request_id} reaches {server_id} from {instance} {now - pause[0]:.2f} s after it asked for a pause")
+        told = self.told_leaving.get((server_id, instance))
+        if told is not None and sent_at - told > DRAIN_S:
+            self.report_violation(f"{request_id} reaches {server_id} from {instance} {now - told:.2f} s after it told that it leaves")
+
     def record_answer(self, request_id, instance, status, headers, body, sent_at):
         kind, target, _ = self.requests[request_id]
         # These statuses state that the request did not run.
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -46,6 +46,27 @@
 STRONG_CPU_SHARE, WEAK_CPU_SHARE = 1.0, 0.002
 
 
+# From this seed on, servers also state in their answers that they want a pause or leave. Earlier seeds keep their order of faults.
+FIRST_SEED_WITH_STATEMENTS = 500
+
+
+def processor_waits(pid):
+    """Returns how long each thread of a process has waited for a processor, in seconds. Empty if the process has ended."""
+    waits = {}
+    try:
+        for task in os.listdir(f"/proc/{pid}/task"):
+            with open(f"/proc/{pid}/task/{task}/schedstat", encoding="ascii") as file:
+                waits[task] = int(file.read().split()[1]) / 1e9
+    except (OSError, IndexError):
+        pass
+    return waits
+
+
+def processor_wait_s(pid, before):
+    """Returns the longest time that a thread of a process has waited for a processor since the waits were before."""
+    return max((wait - before[task] for task, wait in processor_waits(pid).items() if task in before), default=0.0)
+
+
 class Instance:
     """An entry instance and the proxy between it and the store. Starts a new process after a short pause when the process exits."""
 
@@ -155,6 +176,10 @@
         self.last_stall_at = -100.0
         # Instance that received each request, by request id.
         self.target_instances = {}
+        # Time at which each request was sent, by id.
+        self.sent_times = {}
+        # How long the threads of this process and of the instance had waited for a processor when the request was sent, by id.
+        self.sent_waits = {}
 
     def clock(self):
         return asyncio.get_running_loop().time() - self.started
@@ -171,7 +196,35 @@
         target_instance = self.target_instances.get(request_id)
         paused = target_instance is not None and self.recently_paused(target_instance)
         stalled = self.clock() - self.last_stall_at < DEADLINE_MS / 1000
-        self.checker.record_run(backend, request, request_id, disturbed or paused or stalled)
+        waited_s = 0.0
+        if target_instance is not None:
+            waited_s = processor_wait_s("self", self.sent_waits[request_id][0]) + processor_wait_s(target_instance.process.pid, self.sent_waits[request_id][1])
+        self.checker.record_run(backend, request, request_id, disturbed or paused or stalled, waited_s)
+
+    def sender_of(self, request_id):
+        """Returns the process that sends the request to servers, or None if queries are divided or a fault may have delayed the request."""
+        instance = self.target_instances.get(request_id)
+        if instance is None or self.cpu_share != STRONG_CPU_SHARE or self.recently_paused(instance):
+            return None
+        stalled = self.clock() - self.last_stall_at < DEADLINE_MS / 1000
+        return None if stalled else f"{instance.name}#{instance.incarnation}"
+
+    def record_arrival(self, backend, request_id):
+        proxy = self.proxies[backend.service, backend.number]
+        disturbed = proxy.fault_mode != "none" or proxy.delay_s or self.clock() - proxy.last_fault_at < CONTACT_S
+        sender = self.sender_of(request_id)
+        if sender is not None and not disturbed:
+            self.checker.record_arrival(backend.server_id, sender, request_id, self.sent_times[request_id])
+
+    def record_pause(self, backend, request_id, seconds):
+        sender = self.sender_of(request_id)
+        if sender is not None:
+            self.checker.record_pause(backend.server_id, sender, seconds)
+
+    def record_leaving(self, backend, request_id):
+        sender = self.sender_of(request_id)
+        if sender is not None:
+            self.checker.record_leaving(backend.server_id, sender)
 
     async def detect_stalls(self):
         """Records stalls of this process, during which callers send requests later than their recorded time."""
@@ -247,6 +300,8 @@
         path = {"gather": "/g/", "one": "/one/", "once": "/once/"}[kind] + request_id + "?page=1"
         sent_at, incarnation = self.clock(), instance.incarnation
         self.target_instances[request_id] = instance
+        self.sent_times[request_id] = sent_at
+        self.sent_waits[request_id] = (processor_waits("self"), processor_waits(instance.process.pid))
         self.checker.record_request(request_id, kind, path, DEADLINE_MS)
         headers = {"Host": "h", "X-Request-Id": request_id, "X-Deadline-Ms": str(DEADLINE_MS)}
         method = session.post if kind == "once" else session.get
@@ -343,6 +398,9 @@
             self.evacuate,
         ]
 
+        if deployment.seed >= FIRST_SEED_WITH_STATEMENTS:
+            self.kinds += [self.pause_requests, self.pause_requests, self.leave_unannounced, self.leave_unannounced]
+
     async def run(self, seconds):
         end = self.deployment.clock() + seconds
         running = []
@@ -462,6 +520,37 @@
         await backend.stop()
         await self.restart_backend(backend)
 
+    async def pause_requests(self):
+        """All servers of a service, or one, reject requests and ask for a pause."""
+        chosen = self.backend()
+        whole_service = self.random.random() < 0.3
+        paused = [backend for backend in self.deployment.backends if backend is chosen or (whole_service and backend.service == chosen.service)]
+        for backend in paused:
+            backend.fault_mode = "pausing"
+        await self.sleep_random()
+        for backend in paused:
+            if backend.fault_mode == "pausing":
+                backend.fault_mode = "none"
+
+    async def leave_unannounced(self):
+        """A server states in its answers that it leaves, while its entry lapses and comes back unchanged. A new one replaces it."""
+        backend = self.backend()
+        if backend.runner is None or backend.server_id in self.deployment.checker.leaving:
+            return
+        old = backend.server_id
+        backend.fault_mode = "leaving"
+        if self.random.random() < 0.5:
+            await self.sleep_random(1.0)
+            await self.deployment.store.write("servers/" + old, None)
+            await self.deployment.store.write("servers/" + old, backend.registration())
+        await asyncio.sleep(5.0)  # Longer than DRAIN_S, so that requests that arrive too late are seen.
+        if backend.runner is None or backend.server_id != old or old in self.deployment.checker.leaving:
+            return  # Another fault has ended the server meanwhile.
+        await self.deployment.store.write("servers/" + old, None)
+        self.deployment.checker.leaving[old] = self.deployment.clock()
+        await backend.stop()
+        await self.restart_backend(backend)
+
     async def restart_backend(self, backend):
         await backend.start()
         await self.deployment.store.write("servers/" + backend.server_id, backend.registration())
--- a/test/soak/stand_in.py
+++ b/test/soak/stand_in.py
@@ -11,6 +11,8 @@
 RECORDS_PER_SHARD = 6
 # Maximum number of changes that the store keeps for watches.
 HISTORY_CHANGES = 400
+# Pause that a server in fault mode pausing asks for.
+PAUSE_S = 2
 
 
 def digest(*parts):
@@ -198,7 +200,8 @@
     """A backend server that reports each execution to the deployment.
 
     Fault modes besides none: slow answers after 0.2 s, failing answers with status 500, silent does not answer, losing closes the
-    connection after the execution, full refuses the request without an execution."""
+    connection after the execution, full refuses the request without an execution, pausing does so and asks for a pause, leaving states in
+    each answer that the server leaves."""
 
     def __init__(self, service, number, address, domain, deployment):
         self.service, self.number, self.address, self.domain, self.deployment = service, number, address, domain, deployment
@@ -241,6 +244,13 @@
         headers = {"X-Request-Id": request_id, "X-Server-Load": "1,0,8"}
         if request.headers.get("X-Expect-Instance", self.server_id) != self.server_id:
             return web.Response(status=421, headers=headers)
+        self.deployment.record_arrival(self, request_id)
+        if self.fault_mode == "leaving":
+            headers["Server-Leaving"] = "1"
+            self.deployment.record_leaving(self, request_id)
+        if self.fault_mode == "pausing":
+            self.deployment.record_pause(self, request_id, PAUSE_S)
+            return web.Response(status=503, headers={**headers, "X-Not-Run": "1", "Retry-After": str(PAUSE_S)})
         if self.fault_mode == "full":
             return web.Response(status=503, headers={**headers, "X-Not-Run": "1"})
         self.deployment.record_run(self, request, request_id)
--- a/test/soak/test_promises.py
+++ b/test/soak/test_promises.py
@@ -67,12 +67,47 @@
         self.run_at(deadline_ms=2100)  # More than the caller's 1500 ms and the slack of 500 ms.
         self.assertEqual(self.violation_count(), 1)
 
+    def test_time_without_a_processor_excuses_no_more_than_itself(self):
+        self.send_request()
+        backend = types.SimpleNamespace(server_id="s0-0-1")
+        request = types.SimpleNamespace(path_qs="/g/r1", headers={"X-Deadline-Ms": "2100"})
+        self.checker.record_run(backend, request, "r1", False, 0.2)
+        self.assertEqual(self.checker.violations, [])
+        self.checker.record_run(backend, request, "r1", False, 0.05)
+        self.assertEqual(self.violation_count(), 1)
+
     def test_request_to_removed_server_is_a_violation(self):
         self.send_request()
         self.checker.leaving["s0-0-1"] = self.now - 3.5
         self.run_at()
         self.assertEqual(self.violation_count(), 1)
 
+    def test_requests_during_a_pause_are_violations(self):
+        self.checker.record_pause("s0-0-1", "e0#1", 2)
+        self.now += 0.4
+        for _ in range(5):
+            self.checker.record_arrival("s0-0-1", "e0#1", "r1", self.now)
+        self.now += 0.4
+        for _ in range(2):
+            self.checker.record_arrival("s0-0-1", "e0#1", "r1", self.now)
+        self.checker.record_arrival("s0-0-1", "e1#1", "r1", self.now)
+        self.assertEqual(self.checker.violations, [])
+        self.checker.record_arrival("s0-0-1", "e0#1", "r1", self.now)
+        self.assertEqual(self.violation_count(), 1)
+        self.now += 2.0
+        self.checker.record_arrival("s0-0-1", "e0#1", "r1", self.now)
+        self.assertEqual(self.violation_count(), 1)
+
+    def test_request_to_a_server_that_told_that_it_leaves_is_a_violation(self):
+        self.checker.record_leaving("s0-0-1", "e0#1")
+        self.now += 2.9
+        self.checker.record_arrival("s0-0-1", "e0#1", "r1", self.now)
+        self.assertEqual(self.checker.violations, [])
+        self.now += 0.2
+        self.checker.record_arrival("s0-0-1", "e0#2", "r1", self.now)
+        self.checker.record_arrival("s0-0-1", "e0#1", "r1", self.now)
+        self.assertEqual(self.violation_count(), 1)
+
     def test_invalid_and_duplicate_parts_are_violations(self):
         self.send_request()
         self.answer(stamps="s0.s0-0-1.r9.00000000")
