--- a/include/ragwortcart/Runtime/Worker.h
+++ b/include/ragwortcart/Runtime/Worker.h
@@ -14,9 +14,12 @@
 #include <array>
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
+#include <tuple>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -129,7 +132,11 @@
         std::string coordinator;
         QueryId query = 0;
         AttemptId branch = 0;
-        auto operator<=>(const BranchKey &) const = default;
+
+        friend bool operator<(const BranchKey &left, const BranchKey &right)
+        {
+            return std::tie(left.coordinator, left.query, left.branch) < std::tie(right.coordinator, right.query, right.branch);
+        }
     };
 
     struct OpenQuery
