Wire: a damaged message of a divided query is not read past its end

Cause: FieldReader asked Qt's stream reader for the next field also after an error, because the condition was an argument, evaluated before the check. Qt's reader is past the end of the message then.

Change: the condition is only evaluated while the message is valid.

--- a/lib/Wire/PartialQueryCodec.cpp
+++ b/lib/Wire/PartialQueryCodec.cpp
@@ -139,29 +139,29 @@
 
     std::uint64_t number(std::uint64_t maximum = std::numeric_limits<std::uint64_t>::max())
     {
-        if (!this->expect(this->reader.isUnsignedInteger())) {
+        if (!this->expect([this] { return this->reader.isUnsignedInteger(); })) {
             return 0;
         }
         const std::uint64_t value = this->reader.toUnsignedInteger();
-        return this->expect(value <= maximum && this->reader.next()) ? value : 0;
+        return this->expect([&] { return value <= maximum && this->reader.next(); }) ? value : 0;
     }
 
     std::int64_t signedNumber()
     {
-        if (!this->expect(this->reader.isInteger())) {
+        if (!this->expect([this] { return this->reader.isInteger(); })) {
             return 0;
         }
         const std::int64_t value = this->reader.toInteger();
-        return this->expect(this->reader.next()) ? value : 0;
+        return this->expect([this] { return this->reader.next(); }) ? value : 0;
     }
 
     bool boolean()
     {
-        if (!this->expect(this->reader.isBool())) {
+        if (!this->expect([this] { return this->reader.isBool(); })) {
             return false;
         }
         const bool value = this->reader.toBool();
-        return this->expect(this->reader.next()) && value;
+        return this->expect([this] { return this->reader.next(); }) && value;
     }
 
     Duration duration()
@@ -172,14 +172,14 @@
     std::string bytes()
     {
         std::string value;
-        if (!this->expect(this->reader.isByteArray())) {
+        if (!this->expect([this] { return this->reader.isByteArray(); })) {
             return value;
         }
         auto chunk = this->reader.readByteArray();
         for (; chunk.status == QCborStreamReader::Ok; chunk = this->reader.readByteArray()) {
             value.append(chunk.data.constData(), static_cast<std::size_t>(chunk.data.size()));
         }
-        return this->expect(chunk.status == QCborStreamReader::EndOfString) ? value : std::string();
+        return this->expect([&chunk] { return chunk.status == QCborStreamReader::EndOfString; }) ? value : std::string();
     }
 
     /// Reads a list with at most \p maximum elements, each with \p readElement.
@@ -187,22 +187,24 @@
     auto list(std::uint64_t maximum, ReadElement readElement)
     {
         std::vector<decltype(readElement())> elements;
-        if (!this->expect(this->reader.isArray() && this->reader.enterContainer())) {
+        if (!this->expect([this] { return this->reader.isArray() && this->reader.enterContainer(); })) {
             return elements;
         }
         while (this->isValid && this->reader.hasNext()) {
             elements.push_back(readElement());
-            this->expect(elements.size() <= maximum);
+            this->expect([&] { return elements.size() <= maximum; });
         }
-        this->expect(this->reader.leaveContainer());
+        this->expect([this] { return this->reader.leaveContainer(); });
         return elements;
     }
 
 private:
-    /// Marks the message as invalid unless \p condition holds.
-    bool expect(bool condition)
+    /// Marks the message as invalid unless \p condition holds. Does not evaluate it for a message that is invalid already: after an error the
+    /// reader may be past the end of the message and must not be used.
+    template <typename Condition>
+    bool expect(Condition condition)
     {
-        this->isValid = this->isValid && condition;
+        this->isValid = this->isValid && condition();
         return this->isValid;
     }
 
