Wire: a link that the other side uses is not closed under its branches

Cause: an instance closed each link that it had opened and no longer wanted, at once. When two strong instances joined, the third was no relay any more; the link that one of them had opened to it was closed 22 ms after it had come up, with a branch open on it, and the caller got 502 (log of DividedQueryTest: peer-link up, aggregator-silent "its link has closed", peer-link down). The same can happen whenever relays or aggregators change.

Ruled out: the silence of an aggregator (the query failed after 0.9 ms), a reply that does not fit.

Change: an undesired link is closed five seconds after it was last desired or carried a message of a divided query.

Result: the new test of PeerLinks fails before.

--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -160,6 +160,8 @@
 
     // Exchanging store events, attempt counts and server warnings with peers (RouteControlPeers.cpp).
     PeerLinks::Handlers makeLinkHandlers();
+    /// Keeps the link to a coordinator or an aggregator open while it is in use, whoever has opened it. Thread-safe.
+    void keepLinkOpen(const std::string &peer);
     void startPeerLinks();
     void onPeerBytes(const std::string &peer, const std::string &bytes);
     void performChangeFeedActions();
--- a/include/ragwortcart/Wire/PeerLinks.h
+++ b/include/ragwortcart/Wire/PeerLinks.h
@@ -51,13 +51,17 @@
     /// Ends the thread without closing the links; no handler runs afterwards.
     void stop();
 
-    /// Sets the peers to maintain links to, as addresses by instance. Closes outgoing links to all other peers. Thread-safe.
+    /// Sets the peers to maintain links to, as addresses by instance. Outgoing links to other peers are closed some seconds after they were last
+    /// desired or kept open. Thread-safe.
     void setDesiredPeers(const std::map<std::string, std::string> &desired);
 
     /// Sends a message over the link to \p peer. Drops it if there is no link, and also closes the link if the peer does not
     /// read fast enough. Thread-safe.
     void send(const std::string &peer, const std::string &bytes);
 
+    /// Keeps the link to \p peer open for some seconds although it may not be desired: the peer uses it. Thread-safe.
+    void keepOpen(const std::string &peer);
+
     const PeerLinkCounts &counts() const;
 
 private:
--- a/lib/Runtime/RouteControlPeers.cpp
+++ b/lib/Runtime/RouteControlPeers.cpp
@@ -39,6 +39,7 @@
             .onMessage =
                 [this, queued](const std::string &peer, const std::string &bytes) {
                     if (isPartialQueryMessage(bytes)) {
+                        this->keepLinkOpen(peer);
                         this->options.onPartialQueryMessage(peer, bytes);
                     } else {
                         queued.onMessage(peer, bytes);
@@ -46,6 +47,13 @@
                 }};
 }
 
+void RouteControl::keepLinkOpen(const std::string &peer)
+{
+    if (PeerLinks *started = this->startedLinks.load(std::memory_order_acquire)) {
+        started->keepOpen(peer);
+    }
+}
+
 void RouteControl::sendToPeer(const std::string &peer, const std::string &bytes)
 {
     if (PeerLinks *started = this->startedLinks.load(std::memory_order_acquire)) {
--- a/lib/Wire/PeerLinks.cpp
+++ b/lib/Wire/PeerLinks.cpp
@@ -27,6 +27,8 @@
 static constexpr std::chrono::milliseconds LINK_CHECK_INTERVAL{300};
 /// A link on which no message has arrived for this time is closed.
 static constexpr std::chrono::milliseconds RECEIVE_TIMEOUT{3000};
+/// Time for which a link is kept that is no longer desired, in case the peer uses it.
+static constexpr std::chrono::milliseconds UNDESIRED_LINK_TIME{5000};
 static constexpr long HANDSHAKE_TIMEOUT_MS = 1000;
 static constexpr std::size_t MAXIMUM_MESSAGE_BYTES = 8U * 1024U * 1024U;
 /// A link whose unsent data exceeds this size is closed, because its peer does not read fast enough.
@@ -121,16 +123,19 @@
 
     void setDesiredPeers(const std::map<std::string, std::string> &addresses)
     {
-        this->desiredPeers = addresses;
-        // Links opened by a peer are closed by that peer.
-        std::vector<Link> obsolete;
-        for (const auto &[peer, link] : this->links) {
-            if (!link.accepted && this->desiredPeers.find(peer) == this->desiredPeers.end()) {
-                obsolete.push_back(link);
+        for (const auto &[peer, address] : this->desiredPeers) {
+            if (addresses.find(peer) == addresses.end()) {
+                this->keepOpen(peer);
             }
         }
-        for (const Link &link : obsolete) {
-            this->close(link);
+        this->desiredPeers = addresses;
+    }
+
+    void keepOpen(const std::string &peer)
+    {
+        const auto found = this->links.find(peer);
+        if (found != this->links.end()) {
+            found->second.keptUntil = Clock::now() + UNDESIRED_LINK_TIME;
         }
     }
 
@@ -146,6 +151,8 @@
         /// Whether the peer opened the link.
         bool accepted = false;
         Clock::time_point lastReceived;
+        /// Until then, the link is not closed although it may not be desired.
+        Clock::time_point keptUntil{};
     };
 
     std::string listen()
@@ -254,17 +261,23 @@
         this->client.connect(connection);
     }
 
-    /// Closes timed-out links, opens missing ones and schedules the next check.
+    /// Returns whether a link is to be closed. Links opened by a peer are closed by that peer.
+    bool isObsolete(const std::string &peer, const Link &link, Clock::time_point now) const
+    {
+        return !link.accepted && this->desiredPeers.find(peer) == this->desiredPeers.end() && now >= link.keptUntil;
+    }
+
+    /// Closes timed-out and obsolete links, opens missing ones and schedules the next check.
     void checkLinks()
     {
         const Clock::time_point now = Clock::now();
-        std::map<std::string, Link> timedOut;
+        std::vector<Link> ending;
         for (const auto &[peer, link] : this->links) {
-            if (now - link.lastReceived > RECEIVE_TIMEOUT) {
-                timedOut[peer] = link;
+            if (now - link.lastReceived > RECEIVE_TIMEOUT || this->isObsolete(peer, link, now)) {
+                ending.push_back(link);
             }
         }
-        for (const auto &[peer, link] : timedOut) {
+        for (const Link &link : ending) {
             this->close(link);
         }
         for (const auto &[peer, address] : this->desiredPeers) {
@@ -325,6 +338,11 @@
     this->core->post([owner = this->core.get(), peer, bytes] { owner->send(peer, bytes); });
 }
 
+void PeerLinks::keepOpen(const std::string &peer)
+{
+    this->core->post([owner = this->core.get(), peer] { owner->keepOpen(peer); });
+}
+
 const PeerLinkCounts &PeerLinks::counts() const
 {
     return this->core->counts;
--- a/unittests/Wire/PeerLinksTest.cpp
+++ b/unittests/Wire/PeerLinksTest.cpp
@@ -91,6 +91,20 @@
     }));
 }
 
+/// Guards against a query that fails because its aggregator has closed the link that the query came over: the aggregator had opened it for
+/// another purpose, which has ended.
+TEST(PeerLinksTest, aLinkInUseByTheOtherSideIsKeptWhenItIsNoLongerDesired)
+{
+    LinkEndpoint one("one", PORT + 8);
+    LinkEndpoint other("other", PORT + 9);
+    one.links->setDesiredPeers({{"other", other.address}});
+    ASSERT_TRUE(eventually([&] { return one.isLinkedTo("other") && other.isLinkedTo("one"); }));
+    one.links->setDesiredPeers({});
+    one.links->send("other", "answer");
+    EXPECT_TRUE(eventually([&] { return other.received("one:answer"); }));
+    EXPECT_TRUE(one.isLinkedTo("other"));
+}
+
 TEST(PeerLinksTest, closesOutgoingLinkThatIsNoLongerDesired)
 {
     LinkEndpoint one("one", PORT + 6);
