Wire: a request whose deadline has passed while it waited for a connection is not sent

Change: such a request ends as SubFailure::expired: no byte was sent, it proves that the request has not run, says nothing about the server, and isn't tried again. The connection is kept. The soak tells with each violation of the deadline when the caller's request was written, how far its own event loop was behind, and which instances were recently paused; it excuses nothing more.

Measured: the two new tests of BackendClientTest fail without the check and pass with it; Control, Kernel, Model, Platform and Wire tests pass.

--- a/include/ragwortcart/Model/Query.h
+++ b/include/ragwortcart/Model/Query.h
@@ -115,6 +115,8 @@
 enum class SubFailure {
     /// The connection could not be established; no byte was sent.
     connectFailed,
+    /// The deadline passed while the request waited for a connection; no byte was sent.
+    expired,
     /// The connection ended after bytes had been sent, and it is not confirmed that the same server process is still running.
     lost,
     /// The connection ended after bytes had been sent; the same server process is still running.
--- a/lib/Kernel/AttemptSteps.cpp
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -448,7 +448,7 @@
     this->candidates(query, part, now, anyUsable);
     // An attempt without a connection added no load to a server, so its retry needs no budget.
     const bool withinAllowance = failure == SubFailure::connectFailed || this->allowsExtraRequest(query, part, ExtraRequestPurpose::retry);
-    const bool allowed = anyUsable && mayAttempt(query, part) && this->mayExposeAnotherServer(query, now) && withinAllowance;
+    const bool allowed = failure != SubFailure::expired && anyUsable && mayAttempt(query, part) && this->mayExposeAnotherServer(query, now) && withinAllowance;
     if (allowed && state.retry->retry(context, this->budgetOf(query, part))) {
         ++query.retries;
         this->report(Reason::retried, query.request.id);
--- a/lib/Kernel/ServerHealth.cpp
+++ b/lib/Kernel/ServerHealth.cpp
@@ -128,6 +128,10 @@
 
 void QueryEngine::recordFailure(ActiveQuery &query, ServerRecord &server, SubFailure failure, Instant now)
 {
+    if (failure == SubFailure::expired) {
+        // The server has not seen the request.
+        return;
+    }
     server.failed.fetch_add(1, std::memory_order_relaxed);
     server.recordServed(false, now);
     // A server that sheds load is not necessarily slow. A timed-out attempt was already counted when it was cancelled,
@@ -139,6 +143,7 @@
     case SubFailure::draining:
         server.setExclusion(ServerRecord::draining, true);
         return;
+    case SubFailure::expired:
     case SubFailure::shed:
     case SubFailure::snapshotGone:
         return;
--- a/lib/Model/Query.cpp
+++ b/lib/Model/Query.cpp
@@ -11,6 +11,8 @@
     switch (failure) {
     case SubFailure::connectFailed:
         return "connect-failed";
+    case SubFailure::expired:
+        return "deadline-passed";
     case SubFailure::lost:
         return "server-lost";
     case SubFailure::closed:
@@ -37,6 +39,7 @@
 {
     switch (failure) {
     case SubFailure::connectFailed:
+    case SubFailure::expired:
     case SubFailure::shed:
     case SubFailure::draining:
     case SubFailure::snapshotGone:
--- a/lib/Wire/BackendClient.cpp
+++ b/lib/Wire/BackendClient.cpp
@@ -58,6 +58,17 @@
 class Connection;
 using ConnectionPointer = std::shared_ptr<Connection>;
 
+/// Returns whether the deadline of a request has passed, so that its caller no longer waits for the answer.
+bool hasExpired(const PendingRequest &pending)
+{
+    return steadyNow() >= pending.request.deadline;
+}
+
+SubFailureReport expiredReport()
+{
+    return {.failure = SubFailure::expired, .report = std::nullopt, .answer = std::nullopt};
+}
+
 /// Connections and queued requests of one server. Pools are never removed, so references to them stay valid.
 struct ServerPool
 {
@@ -160,6 +171,10 @@
             ErrorCode ignored;
             self->socket.set_option(Tcp::no_delay(true), ignored);
             self->timer.cancel();
+            if (hasExpired(self->current)) {
+                self->releaseExpired();
+                return;
+            }
             self->writeRequest();
         });
     }
@@ -352,6 +367,16 @@
         return outcome;
     }
 
+    /// Ends a request whose deadline has passed while the connection was being established, and keeps the connection.
+    void releaseExpired()
+    {
+        this->established = true;
+        const BackendClient::Completion completion = std::exchange(this->current.completion, nullptr);
+        this->core.running.erase(this->current.key);
+        this->core.release(this->shared_from_this());
+        completion(expiredReport());
+    }
+
     /// Ends a request of which no byte was sent.
     void fail(SubFailure failure)
     {
@@ -434,6 +459,12 @@
 void BackendClient::Core::assignConnections(ServerPool &pool, std::vector<ConnectionPointer> &stale)
 {
     while (!pool.queue.empty()) {
+        if (hasExpired(pool.queue.front())) {
+            const Completion completion = std::move(pool.queue.front().completion);
+            pool.queue.pop_front();
+            completion(expiredReport());
+            continue;
+        }
         if (const ConnectionPointer connection = takeIdle(pool, stale)) {
             PendingRequest request = std::move(pool.queue.front());
             pool.queue.pop_front();
--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -47,9 +47,9 @@
     def record_request(self, request_id, kind, target, deadline_ms):
         self.requests[request_id] = (kind, target, self.clock() + deadline_ms / 1000)
 
-    def record_run(self, backend, request, request_id, skip_deadline_check, waited_s=0.0):
+    def record_run(self, backend, request, request_id, skip_deadline_check, delays=""):
         """Checks the start of an execution. A fault may delay the request on its way; skip_deadline_check is set in that case. A
-        violation tells waited_s, the time that the caller's and the instance's processes waited for a processor since the request was sent."""
+        violation tells delays, which describes what may have delayed the request."""
         now = self.clock()
         if request_id not in self.requests:
             self.report_violation(f"{backend.server_id} runs {request_id}, which no caller sent")
@@ -65,8 +65,7 @@
         server_deadline_ms = int(request.headers.get("X-Deadline-Ms", "999999999"))
         if now + server_deadline_ms / 1000 > deadline + DEADLINE_SLACK_MS / 1000 and not skip_deadline_check:
             self.report_violation(
-                f"{request_id} arrives at {backend.server_id} with a deadline of {server_deadline_ms} ms, its caller waits {1000 * (deadline - now):.0f} ms;"
-                f" the processes waited {1000 * waited_s:.0f} ms for a processor"
+                f"{request_id} arrives at {backend.server_id} with a deadline of {server_deadline_ms} ms, its caller waits {1000 * (deadline - now):.0f} ms; {delays}"
             )
         leaving_since = self.leaving.get(backend.server_id)
         if leaving_since is not None and now - leaving_since > DRAIN_S and self.fault_free_for(CONTACT_S + DRAIN_S):
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -174,11 +174,16 @@
         self.ids = itertools.count(1)
         self.served = self.failed = 0
         self.last_stall_at = -100.0
+        # Sum of the delays of this process's event loop.
+        self.loop_delay_s = 0.0
         # Instance that received each request, by request id.
         self.target_instances = {}
         # Time at which each request was sent, by id.
         self.sent_times = {}
-        # How long the threads of this process and of the instance had waited for a processor when the request was sent, by id.
+        # Time at which the head of each request was written to its connection, by id.
+        self.written_times = {}
+        # How long the threads of this process and of the instance had waited for a processor, and the event loop had been delayed, when the
+        # request was sent, by id.
         self.sent_waits = {}
 
     def clock(self):
@@ -196,10 +201,19 @@
         target_instance = self.target_instances.get(request_id)
         paused = target_instance is not None and self.recently_paused(target_instance)
         stalled = self.clock() - self.last_stall_at < DEADLINE_MS / 1000
-        waited_s = 0.0
-        if target_instance is not None:
-            waited_s = processor_wait_s("self", self.sent_waits[request_id][0]) + processor_wait_s(target_instance.process.pid, self.sent_waits[request_id][1])
-        self.checker.record_run(backend, request, request_id, disturbed or paused or stalled, waited_s)
+        delays = "" if target_instance is None else self.describe_delays(request_id, target_instance)
+        self.checker.record_run(backend, request, request_id, disturbed or paused or stalled, delays)
+
+    def describe_delays(self, request_id, instance):
+        """Describes what may have delayed the request since it was sent, for the text of a violation."""
+        own, other, loop_delay_s = self.sent_waits[request_id]
+        waited_s = processor_wait_s("self", own) + processor_wait_s(instance.process.pid, other)
+        written_s = self.written_times.get(request_id, self.sent_times[request_id]) - self.sent_times[request_id]
+        paused = [other.name for other in self.instances if self.recently_paused(other)]
+        return (
+            f"written after {1000 * written_s:.0f} ms, event loop delayed by {1000 * (self.loop_delay_s - loop_delay_s):.0f} ms,"
+            f" waits for a processor {1000 * waited_s:.0f} ms, recently paused: {','.join(paused) or 'none'}"
+        )
 
     def sender_of(self, request_id):
         """Returns the process that sends the request to servers, or None if queries are divided or a fault may have delayed the request."""
@@ -231,6 +245,7 @@
         while True:
             before = self.clock()
             await asyncio.sleep(STALL_CHECK_INTERVAL_S)
+            self.loop_delay_s += max(self.clock() - before - STALL_CHECK_INTERVAL_S, 0.0)
             if self.clock() - before > STALL_CHECK_INTERVAL_S + STALL_THRESHOLD_S:
                 self.last_stall_at = self.clock()
                 print(f"{self.last_stall_at:7.3f} the soak test stalled for {self.last_stall_at - before:.2f} s", flush=True)
@@ -290,23 +305,34 @@
         """Sends requests of randomly chosen kinds over one keep-alive connection until the run closes."""
         connector = aiohttp.TCPConnector(limit=1)
         rng = random.Random(f"{self.seed}-{instance.name}-{number}")
-        async with aiohttp.ClientSession(connector=connector) as session:
+        async with aiohttp.ClientSession(connector=connector, trace_configs=[self.trace_writes()]) as session:
             while not self.closing:
                 await self.send_request(session, instance, rng.choice(["gather", "gather", "one", "once"]))
                 await asyncio.sleep(CALLER_PAUSE_S)
 
+    def trace_writes(self):
+        """Returns a trace that records when the head of each request is written."""
+
+        async def on_headers_sent(_session, context, _parameters):
+            self.written_times[context.trace_request_ctx] = self.clock()
+
+        trace = aiohttp.TraceConfig()
+        trace.on_request_headers_sent.append(on_headers_sent)
+        return trace
+
     async def send_request(self, session, instance, kind):
         request_id = f"{self.seed:x}-{next(self.ids):x}"
         path = {"gather": "/g/", "one": "/one/", "once": "/once/"}[kind] + request_id + "?page=1"
         sent_at, incarnation = self.clock(), instance.incarnation
         self.target_instances[request_id] = instance
         self.sent_times[request_id] = sent_at
-        self.sent_waits[request_id] = (processor_waits("self"), processor_waits(instance.process.pid))
+        self.sent_waits[request_id] = (processor_waits("self"), processor_waits(instance.process.pid), self.loop_delay_s)
         self.checker.record_request(request_id, kind, path, DEADLINE_MS)
         headers = {"Host": "h", "X-Request-Id": request_id, "X-Deadline-Ms": str(DEADLINE_MS)}
         method = session.post if kind == "once" else session.get
         try:
-            async with method(f"http://{instance.ip}:8226{path}", headers=headers, timeout=aiohttp.ClientTimeout(total=DEADLINE_MS / 1000 + 1)) as answer:
+            url, timeout = f"http://{instance.ip}:8226{path}", aiohttp.ClientTimeout(total=DEADLINE_MS / 1000 + 1)
+            async with method(url, headers=headers, timeout=timeout, trace_request_ctx=request_id) as answer:
                 body = await answer.read()
                 # Without an instance name if the process was replaced meanwhile, as either process may have sent the answer.
                 same_process = instance.incarnation == incarnation
@@ -350,7 +376,7 @@
         """Checks that every instance serves all requests after the recovery time."""
         await asyncio.sleep(RECOVERY_S)
         served = failed = 0
-        async with aiohttp.ClientSession() as session:
+        async with aiohttp.ClientSession(trace_configs=[self.trace_writes()]) as session:
             for instance in self.instances:
                 for kind in ["gather", "one", "once"] * 4:
                     succeeded = await self.send_request(session, instance, kind)
--- a/test/soak/test_promises.py
+++ b/test/soak/test_promises.py
@@ -67,13 +67,13 @@
         self.run_at(deadline_ms=2100)  # More than the caller's 1500 ms and the slack of 500 ms.
         self.assertEqual(self.violation_count(), 1)
 
-    def test_time_without_a_processor_is_told_and_excuses_nothing(self):
+    def test_delays_are_told_and_excuse_nothing(self):
         self.send_request()
         backend = types.SimpleNamespace(server_id="s0-0-1")
         request = types.SimpleNamespace(path_qs="/g/r1", headers={"X-Deadline-Ms": "2100"})
-        self.checker.record_run(backend, request, "r1", False, 0.7)
+        self.checker.record_run(backend, request, "r1", False, "event loop delayed by 700 ms")
         self.assertEqual(self.violation_count(), 1)
-        self.assertIn("waited 700 ms", self.checker.violations[0])
+        self.assertIn("event loop delayed by 700 ms", self.checker.violations[0])
 
     def test_request_to_removed_server_is_a_violation(self):
         self.send_request()
--- a/unittests/Wire/BackendClientTest.cpp
+++ b/unittests/Wire/BackendClientTest.cpp
@@ -276,6 +276,47 @@
 }
 
 /// Guards against memory that grows without bound: many servers at once send responses that do not end.
+// Guards against work at servers for callers that no longer wait.
+TEST_F(BackendClientTest, doesNotSendARequestWhoseDeadlineHasPassedInTheQueue)
+{
+    std::promise<SubOutcome> first;
+    std::promise<SubOutcome> second;
+    this->thread.call([&] {
+        this->client->send(this->request("hold"), {.maximumConnections = 1}, [&first](SubOutcome outcome) { first.set_value(std::move(outcome)); });
+        SubRequest late = this->request("late");
+        late.deadline = steadyNow() + std::chrono::milliseconds(20);
+        this->client->send(late, {.maximumConnections = 1}, [&second](SubOutcome outcome) { second.set_value(std::move(outcome)); });
+    });
+    ASSERT_TRUE(eventually([this] { return this->received == 1; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    this->thread.call([this] { this->reply(this->held.at(0), 1, 1); });
+    EXPECT_TRUE(std::holds_alternative<SubAnswer>(first.get_future().get()));
+    const SubOutcome outcome = second.get_future().get();
+    ASSERT_TRUE(std::holds_alternative<SubFailureReport>(outcome));
+    EXPECT_EQ(std::get<SubFailureReport>(outcome).failure, SubFailure::expired);
+    EXPECT_TRUE(std::holds_alternative<SubAnswer>(this->exchange("next", 1)));
+    EXPECT_EQ(this->received, 2);
+    EXPECT_EQ(this->connections.size(), 1U);
+}
+
+// Guards against the same after a pause of the process while the connection is being established.
+TEST_F(BackendClientTest, doesNotSendARequestWhoseDeadlineHasPassedWhileConnecting)
+{
+    std::promise<SubOutcome> late;
+    this->thread.call([&] {
+        SubRequest sub = this->request("late");
+        sub.deadline = steadyNow() + std::chrono::milliseconds(5);
+        this->client->send(sub, {.maximumConnections = 1}, [&late](SubOutcome outcome) { late.set_value(std::move(outcome)); });
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    });
+    const SubOutcome outcome = late.get_future().get();
+    ASSERT_TRUE(std::holds_alternative<SubFailureReport>(outcome));
+    EXPECT_EQ(std::get<SubFailureReport>(outcome).failure, SubFailure::expired);
+    EXPECT_TRUE(std::holds_alternative<SubAnswer>(this->exchange("next", 1)));
+    EXPECT_EQ(this->received, 1);
+    EXPECT_EQ(this->connections.size(), 1U);
+}
+
 TEST_F(BackendClientTest, failsResponsesWithoutEndAndClosesTheirConnections)
 {
     static constexpr int SERVERS = 50;
