--- a/include/ragwortcart/Kernel/AggregatorHealth.h
+++ b/include/ragwortcart/Kernel/AggregatorHealth.h
@@ -24,8 +24,8 @@
     /// Returns the aggregators that may be asked now, the one with the lowest expected wait first. Leaves out those in \p tried.
     std::vector<Aggregator> rank(std::span<const Aggregator> aggregators, std::span<const std::string> tried, Instant now, pcg32 &random) const;
 
-    /// Returns the time by which an answer of the aggregator is usually exceeded by what its branch and answer spend on their way, waiting for
-    /// the processors of both instances included.
+    /// Returns how long a branch and its answer usually spend on their way to the aggregator and back, without the time for which it holds the
+    /// branch. Waiting for the processors of both instances counts as being on the way.
     Duration transferTime(const std::string &instance) const;
 
     void onSent(const std::string &instance);
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -206,8 +206,8 @@
 
     def describe_delays(self, request_id, instance):
         """Describes what may have delayed the request since it was sent, for the text of a violation."""
-        own, other, loop_delay_s = self.sent_waits[request_id]
-        waited_s = processor_wait_s("self", own) + processor_wait_s(instance.process.pid, other)
+        own_waits, instance_waits, loop_delay_s = self.sent_waits[request_id]
+        waited_s = processor_wait_s("self", own_waits) + processor_wait_s(instance.process.pid, instance_waits)
         written_s = self.written_times.get(request_id, self.sent_times[request_id]) - self.sent_times[request_id]
         paused = [other.name for other in self.instances if self.recently_paused(other)]
         return (
