Review, case 4: a refusal to HEAD has a body, read as the next answer

HttpServer's Session::write writes the body of a response whatever the method of the request was, so that every answer of the system's own to HEAD puts bytes on a kept connection that belong to no answer. A client reads them where the answer to its next request is due (MIXED).

--- a/review/standins.py
+++ b/review/standins.py
@@ -64,8 +64,9 @@
         return int(self.first.split(" ")[1])
 
 
-async def read_message(reader, is_response=False):
-    """Reads one message. Returns None at the end of the connection; raises asyncio.IncompleteReadError if it ends within a message."""
+async def read_message(reader, is_response=False, to_head=False):
+    """Reads one message. Returns None at the end of the connection; raises asyncio.IncompleteReadError if it ends within a message. A
+    response to HEAD has no body, whatever its fields say."""
     head = b""
     while not head.endswith(b"\r\n\r\n"):
         line = await reader.readline()
@@ -81,7 +82,9 @@
             name, value = line.split(":", 1)
             headers[name.strip().lower()] = value.strip()
     body = b""
-    if headers.get("transfer-encoding", "").lower() == "chunked":
+    if to_head:
+        pass
+    elif headers.get("transfer-encoding", "").lower() == "chunked":
         while True:
             size = int((await reader.readline()).split(b";")[0], 16)
             body += await reader.readexactly(size)
@@ -298,7 +301,8 @@
         finally:
             self.running -= 1
         body = f"{self.identity} {message.target}".encode()
-        writer.write(encode_response(200, {**headers, "X-Server-Stamp": self.stamp(request_id)}, body))
+        response = encode_response(200, {**headers, "X-Server-Stamp": self.stamp(request_id)}, body)
+        writer.write(response[:-len(body)] if message.method == "HEAD" else response)
         return True
 
 
