--- a/benchmarks/KernelBenchmark.cpp
+++ b/benchmarks/KernelBenchmark.cpp
@@ -71,8 +71,13 @@
     const RcuValue<Topology> topology(directory->build(makeOrdinals(), Instant{std::chrono::seconds(1)}));
     AdmissionCounters admissionCounters;
     QuarantineList quarantineList;
-    QueryEngine engine(
-        {.configuration = configuration, .topology = topology, .admissionCounters = admissionCounters, .quarantineList = quarantineList, .seed = 1});
+    CrashEvidence crashEvidence;
+    QueryEngine engine({.configuration = configuration,
+                        .topology = topology,
+                        .admissionCounters = admissionCounters,
+                        .quarantineList = quarantineList,
+                        .crashEvidence = crashEvidence,
+                        .seed = 1});
     Instant now{std::chrono::seconds(2)};
     QueryId id = 0;
     for (auto _ : state) {
--- a/include/ragwortcart/Control/PeerExchange.h
+++ b/include/ragwortcart/Control/PeerExchange.h
@@ -134,6 +134,9 @@
     void handle(const std::string &, const PeerServerWarnings &, Instant)
     {
     }
+    void handle(const std::string &, const PeerCrashNews &, Instant)
+    {
+    }
     void send(const std::string &peer, PeerMessage message);
     void sendToAll(const PeerMessage &message, const std::string &excludedPeer = {});
     PeerDigest makeDigest(Instant now, bool withSequences) const;
--- a/include/ragwortcart/Control/PeerMessages.h
+++ b/include/ragwortcart/Control/PeerMessages.h
@@ -5,6 +5,7 @@
 
 #include "ragwortcart/Control/ConfigurationManager.h"
 #include "ragwortcart/Control/MetadataStore.h"
+#include "ragwortcart/Kernel/CrashEvidence.h"
 #include "ragwortcart/Kernel/QuarantineList.h"
 #include "ragwortcart/Model/ServerStatus.h"
 
@@ -151,6 +152,31 @@
     std::vector<ServerWarning> warnings;
 };
 
+/// A `ContentCrash`, with ages in place of times, because the clocks of the instances differ.
+struct PeerContentCrash
+{
+    std::uint64_t fingerprint = 0;
+    std::string serverId;
+    /// Time since the lost request was sent, and since it was lost.
+    Duration sentAge{};
+    Duration lostAge{};
+};
+
+/// A `ContentServed`.
+struct PeerContentServed
+{
+    std::uint64_t fingerprint = 0;
+    Duration age{};
+};
+
+/// Sent periodically to all linked peers: crashes of servers that ran forwarded requests, and responses to contents that were suspected.
+/// The receiver passes on what it did not know.
+struct PeerCrashNews
+{
+    std::vector<PeerContentCrash> crashes;
+    std::vector<PeerContentServed> served;
+};
+
 using PeerMessage = std::variant<PeerHello,
                                  PeerDigest,
                                  PeerDocuments,
@@ -162,7 +188,8 @@
                                  PeerStoreEvents,
                                  PeerStoreSnapshot,
                                  PeerAttemptCounts,
-                                 PeerServerWarnings>;
+                                 PeerServerWarnings,
+                                 PeerCrashNews>;
 
 } // namespace ragwort
 
--- a/include/ragwortcart/Control/StoreChangeFeed.h
+++ b/include/ragwortcart/Control/StoreChangeFeed.h
@@ -156,6 +156,8 @@
     /// Returns true if a peer receives the store's changes from this instance.
     bool hasSubscribers() const;
 
+    /// Returns all linked instances.
+    std::vector<std::string> linkedPeers() const;
     /// Returns the linked relays of this failure domain.
     std::vector<std::string> linkedRelays() const;
     /// Returns all linked instances of this failure domain.
--- a/include/ragwortcart/Kernel/QueryEngine.h
+++ b/include/ragwortcart/Kernel/QueryEngine.h
@@ -9,6 +9,7 @@
 
 #include "ragwortcart/Kernel/AdmissionQueue.h"
 #include "ragwortcart/Kernel/AggregatorHealth.h"
+#include "ragwortcart/Kernel/CrashEvidence.h"
 #include "ragwortcart/Kernel/KernelMessages.h"
 #include "ragwortcart/Kernel/Policies.h"
 #include "ragwortcart/Kernel/QuarantineList.h"
@@ -53,8 +54,8 @@
     std::vector<GroupStatus> groups;
 };
 
-/// Each thread has its own engine. The engines of one process share the admission counters, the quarantine list and the
-/// server records.
+/// Each thread has its own engine. The engines of one process share the admission counters, the quarantine list, the crash
+/// evidence and the server records.
 class QueryEngine
 {
 public:
@@ -64,6 +65,7 @@
         const RcuValue<Topology> &topology;
         AdmissionCounters &admissionCounters;
         QuarantineList &quarantineList;
+        CrashEvidence &crashEvidence;
         std::uint64_t seed = 1;
         /// Set if other engines use the same server records and admission counters. They release permits without an
         /// event in this engine, which therefore polls at short intervals.
@@ -181,6 +183,19 @@
     void finishForward(ActiveQuery &query, Reason reason, Instant now);
     Duration retryAfterFor(const QueryRequest &request, Duration expectedWait);
 
+    // Contents that crash servers, on routes (CrashSteps.cpp).
+    /// Records that a forwarded request was lost with its server, unless the content is known to be harmless.
+    void recordPossibleCrash(ActiveQuery &query, const QueryPart &part, AttemptId attempt, Instant now);
+    /// Records that a server has run a forwarded request and survived.
+    void recordServedContent(const ActiveQuery &query, Instant now);
+    /// Fails a part whose content is quarantined, or leaves it idle while another part shows whether its server survives the content.
+    /// Returns whether the part may be sent.
+    bool mayRunContent(ActiveQuery &query, std::size_t partIndex, Instant now);
+    /// Returns whether the content of a forwarded request is to run on one server at a time.
+    bool isSuspectedContent(const ActiveQuery &query, Instant now);
+    /// Sends the parts that have waited for a response to a suspected content, or the next one of them if none is being tried.
+    void continueTrial(ActiveQuery &query, Instant now);
+
     // Division of a query among instances (DivisionSteps.cpp).
     /// Hands the shards of a query over to aggregators if they gather them in less time. The parts of the other shards stay idle.
     void handOver(ActiveQuery &query, Instant now);
@@ -261,6 +276,7 @@
     RcuValue<Topology>::Reader topology;
     AdmissionCounters &admissionCounters;
     QuarantineList &quarantineList;
+    CrashEvidence &crashEvidence;
     pcg32 random;
     TimerService timers;
     std::vector<KernelAction> actions;
--- a/include/ragwortcart/Model/PartialQuery.h
+++ b/include/ragwortcart/Model/PartialQuery.h
@@ -35,6 +35,8 @@
     std::int64_t sentAtUs = 0;
     /// The caller's request. Not null in a decoded message.
     std::shared_ptr<const ForwardedRequest> forwarded;
+    /// `QueryRequest::fingerprint` of the query; 0 from coordinators of earlier versions.
+    std::uint64_t contentFingerprint = 0;
 };
 
 /// The aggregator's answer to a `PartialQueryRequest`.
--- a/include/ragwortcart/Runtime/EntryProcess.h
+++ b/include/ragwortcart/Runtime/EntryProcess.h
@@ -71,6 +71,7 @@
     RcuValue<Topology> topology;
     AdmissionCounters admissionCounters;
     QuarantineList quarantineList;
+    CrashEvidence crashEvidence;
     ControlPlane control;
     std::vector<std::unique_ptr<Worker>> workers;
     EventLoop operatorLoop;
--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -11,6 +11,7 @@
 #include "ragwortcart/Control/ServerAttemptAggregator.h"
 #include "ragwortcart/Control/ServerRegistry.h"
 #include "ragwortcart/Control/StoreChangeFeed.h"
+#include "ragwortcart/Kernel/CrashEvidence.h"
 #include "ragwortcart/Kernel/Topology.h"
 #include "ragwortcart/Model/Configuration.h"
 #include "ragwortcart/Model/Route.h"
@@ -52,6 +53,7 @@
         const StoreFormat &format;
         RcuValue<Configuration> &configuration;
         RcuValue<Topology> &topology;
+        CrashEvidence &crashEvidence;
         MetricsRegistry &metrics;
         ExtraLoadLimits extraLoad;
         ServerRegistry::Options registry;
@@ -158,7 +160,7 @@
     void renewLease();
     void publishInstanceEntry();
 
-    // Exchanging store events, attempt counts and server warnings with peers (RouteControlPeers.cpp).
+    // Exchanging store events, attempt counts, server warnings and crash news with peers (RouteControlPeers.cpp).
     PeerLinks::Handlers makeLinkHandlers();
     /// Keeps the link to a coordinator or an aggregator open while it is in use, whoever has opened it. Thread-safe.
     void keepLinkOpen(const std::string &peer);
@@ -172,6 +174,11 @@
     void updateDesiredPeers();
     /// Sends this instance's attempt counts to the relays. A relay also sends warnings about servers that perform badly to its domain.
     void sendAttemptCounts();
+    /// Sends what was recorded about contents that crash servers since the last call to all linked peers, which pass it on.
+    void sendCrashNews();
+    /// Sends a peer whose link has opened all crashes that count.
+    void sendAllCrashNews(const std::string &peer);
+    void onCrashNews(const std::string &peer, const PeerCrashNews &received, Instant now);
     void sendTo(const std::string &peer, const PeerMessage &message);
     /// Logs a change of the source of store events and resumes the store watch when no peer forwards all events.
     void updateWatchState();
--- a/include/ragwortcart/Runtime/RouteProcess.h
+++ b/include/ragwortcart/Runtime/RouteProcess.h
@@ -83,6 +83,7 @@
     RcuValue<Topology> topology;
     AdmissionCounters admissionCounters;
     QuarantineList quarantineList;
+    CrashEvidence crashEvidence;
     RouteControl control;
     Worker worker;
     EventLoop operatorLoop;
--- a/include/ragwortcart/Runtime/Worker.h
+++ b/include/ragwortcart/Runtime/Worker.h
@@ -58,6 +58,7 @@
         const RcuValue<Topology> &topology;
         AdmissionCounters &admissionCounters;
         QuarantineList &quarantineList;
+        CrashEvidence &crashEvidence;
         MetricsRegistry &metrics;
         ControlRequestHandler control;
         const CallerProtocol &callerProtocol = jsonCallerProtocol();
--- a/lib/Control/StoreChangeFeed.cpp
+++ b/lib/Control/StoreChangeFeed.cpp
@@ -390,6 +390,15 @@
     return linked;
 }
 
+std::vector<std::string> StoreChangeFeed::linkedPeers() const
+{
+    std::vector<std::string> linked;
+    for (const auto &[name, peer] : this->peers) {
+        linked.push_back(name);
+    }
+    return linked;
+}
+
 std::vector<std::string> StoreChangeFeed::linkedDomainPeers() const
 {
     std::vector<std::string> linked;
--- a/lib/Kernel/AttemptSteps.cpp
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -65,6 +65,9 @@
 void QueryEngine::dispatch(ActiveQuery &query, std::size_t partIndex, Instant now)
 {
     QueryPart &part = query.parts[partIndex];
+    if (query.route != nullptr && !this->mayRunContent(query, partIndex, now)) {
+        return;
+    }
     bool anyUsable = false;
     std::vector<ServerPointer> available = this->candidates(query, part, now, anyUsable);
     if (!anyUsable) {
@@ -189,7 +192,8 @@
         }
     }
     const std::vector<ServerPointer> available = this->candidates(*query, query->parts[partIndex], now, anyUsable);
-    if (!query->kind->repeatable || available.empty() || !mayAttempt(*query, query->parts[partIndex]) || !this->mayExposeAnotherServer(*query, now)) {
+    if (!query->kind->repeatable || available.empty() || !mayAttempt(*query, query->parts[partIndex]) || !this->mayExposeAnotherServer(*query, now)
+        || this->isSuspectedContent(*query, now)) {
         return;
     }
     GroupState &state = this->groupState(query->key);
@@ -394,6 +398,9 @@
     }
     if (event.failure == SubFailure::serverError) {
         query.serverFailure = event.answer;
+        this->recordServedContent(query, now);
+    } else if (event.failure == SubFailure::lost) {
+        this->recordPossibleCrash(query, part, event.attempt, now);
     }
     const bool serverSurvived = provesNotRun(event.failure) || event.failure == SubFailure::closed;
     if (query.canaryPending && serverSurvived) {
--- a/lib/Kernel/DivisionSteps.cpp
+++ b/lib/Kernel/DivisionSteps.cpp
@@ -19,6 +19,8 @@
 static constexpr std::size_t MAXIMUM_BRANCHES = 16;
 /// Refusal of an aggregator whose servers do not accept the requests in time. Another instance would be refused as well.
 static constexpr std::string_view HELD_BACK = "held-back-by-servers";
+/// Reason of an aggregator whose evidence forbids the content. Another one would refuse it as well, or lose servers.
+static constexpr std::string_view QUARANTINED = "refused-quarantined";
 
 std::size_t QueryEngine::branchCount(const ActiveQuery &query, std::span<const Aggregator> available)
 {
@@ -99,7 +101,8 @@
                                                             .answerWithin = std::max(answerBy - now, Duration::zero()),
                                                             .timeLeft = std::max(timeLeft - RETURN_MARGIN, Duration::zero()),
                                                             .sentAtUs = now.time_since_epoch().count(),
-                                                            .forwarded = std::get<ForwardedCall>(query.request.work).request}});
+                                                            .forwarded = std::get<ForwardedCall>(query.request.work).request,
+                                                            .contentFingerprint = query.request.fingerprint}});
 }
 
 void QueryEngine::dispatchIdle(ActiveQuery &query, std::size_t first, std::size_t count, Instant now)
@@ -110,7 +113,9 @@
         if (part.state != PartState::idle) {
             continue;
         }
-        this->serviceBudget(query, part.service).earn(query.group->extraLoad);
+        if (!std::exchange(part.creditEarned, true)) {
+            this->serviceBudget(query, part.service).earn(query.group->extraLoad);
+        }
         this->dispatch(query, index, now);
         if (this->find(id) == nullptr) {
             return;
@@ -152,7 +157,8 @@
         this->acceptBranch(*query, branch, reply, now);
         return;
     }
-    if (!reply.success && reply.state == RunState::notRun && reply.reason != HELD_BACK) {
+    const bool concernsServers = reply.reason == HELD_BACK || reply.reason == QUARANTINED;
+    if (!reply.success && reply.state == RunState::notRun && !concernsServers) {
         this->aggregatorHealth.onRefused(branch.aggregator, now);
         this->report(Reason::aggregatorRefused, reply.query, branch.aggregator, reply.reason);
         this->replaceBranch(*query, static_cast<std::size_t>(found - query->branches.begin()), now);
@@ -185,6 +191,7 @@
         query.parts[shard].state = PartState::failed;
     }
     branch.records = reply.records;
+    this->recordServedContent(query, now);
     this->finishForwardIfDone(query, now);
 }
 
--- a/lib/Kernel/ForwardSteps.cpp
+++ b/lib/Kernel/ForwardSteps.cpp
@@ -132,6 +132,7 @@
     this->cancelOpenAttempts(*query, part, now);
     part.state = PartState::done;
     part.answer = event.answer;
+    this->recordServedContent(*query, now);
     this->finishForwardIfDone(*query, now);
     this->dispatchWaiting(now);
 }
@@ -184,6 +185,8 @@
         this->finishForward(query, Reason::shareOutOfReach, now);
     } else if (query.pastObjective && meetsMinimumShare(query, done, all)) {
         this->finishForward(query, Reason::objectiveReached, now);
+    } else {
+        this->continueTrial(query, now);
     }
 }
 
--- a/lib/Kernel/QueryEngine.cpp
+++ b/lib/Kernel/QueryEngine.cpp
@@ -4,6 +4,7 @@
 #include "ragwortcart/Kernel/QueryEngine.h"
 
 #include "QueryState.h"
+#include "ragwortcart/Support/Hash.h"
 #include "ragwortcart/Support/Visitor.h"
 
 #include <cassert>
@@ -57,6 +58,7 @@
     , topology(options.topology)
     , admissionCounters(options.admissionCounters)
     , quarantineList(options.quarantineList)
+    , crashEvidence(options.crashEvidence)
     , random(options.seed)
     , sharesPermits(options.sharesPermits)
 {
@@ -239,6 +241,10 @@
         this->refuse(request, Reason::refusedQuarantined, QUARANTINE_TIME);
         return;
     }
+    if (const Duration left = this->crashEvidence.quarantineLeft(request.fingerprint, now); left > Duration::zero()) {
+        this->refuse(request, Reason::refusedQuarantined, left, "content " + toHex(request.fingerprint));
+        return;
+    }
     const std::string &key = resolved->key;
     GroupState &group = this->groupState(key);
     const int limit = this->admissionLimit(group, request);
--- a/lib/Kernel/QueryState.h
+++ b/lib/Kernel/QueryState.h
@@ -63,6 +63,8 @@
     bool snapshotGone = false;
     /// The service, for a part of a forwarded request.
     std::string service;
+    /// The part has earned its credit for the extra-load budget.
+    bool creditEarned = false;
     /// Number of attempts that a server may have run.
     int possibleRuns = 0;
     /// The response to a forwarded request, once the part is done.
@@ -143,6 +145,10 @@
     /// The last error response of a server; returned to the caller if no attempt succeeds.
     std::optional<ForwardedAnswer> serverFailure;
     AttemptId lastAttempt = 0;
+    /// Number of attempts that were lost with their servers.
+    int lostAttempts = 0;
+    /// Set while parts stay idle until another one shows whether its server survives the content.
+    bool onTrial = false;
     /// Number of attempts sent, including hedges and retries.
     int sent = 0;
     int hedges = 0;
--- a/lib/Runtime/EntryProcess.cpp
+++ b/lib/Runtime/EntryProcess.cpp
@@ -78,6 +78,7 @@
                                                      .topology = this->topology,
                                                      .admissionCounters = this->admissionCounters,
                                                      .quarantineList = this->quarantineList,
+                                                     .crashEvidence = this->crashEvidence,
                                                      .metrics = this->metrics,
                                                      .control = [this](ControlRequest request) { this->control.submit(std::move(request)); },
                                                      .seed = stableHash(this->settings.instance, static_cast<std::uint64_t>(wallClockMs()))}));
--- a/lib/Runtime/RouteControlPeers.cpp
+++ b/lib/Runtime/RouteControlPeers.cpp
@@ -2,6 +2,7 @@
 /// Implements the route control thread's communication with peers: links, store events, attempt counts and server warnings.
 #include "ragwortcart/Runtime/QueuedLinkHandlers.h"
 #include "ragwortcart/Runtime/RouteControl.h"
+#include "ragwortcart/Support/Hash.h"
 #include "ragwortcart/Support/Log.h"
 #include "ragwortcart/Support/Visitor.h"
 #include "ragwortcart/Wire/PartialQueryCodec.h"
@@ -9,12 +10,16 @@
 
 namespace ragwort {
 
+/// Maximum number of crashes, and of responses, in one message to each peer; the rest follows in the next one.
+static constexpr std::size_t MAXIMUM_CRASH_NEWS = 256;
+
 PeerLinks::Handlers RouteControl::makeLinkHandlers()
 {
     const auto onLink = [this](const std::string &peer, bool up) {
         logEvent(LogLevel::info, "peer-link", {{.key = "peer", .value = peer}, {.key = "state", .value = up ? "up" : "down"}});
         if (up) {
             this->changeFeed.onLinkUp(peer, steadyNow());
+            this->sendAllCrashNews(peer);
         } else {
             this->changeFeed.onLinkDown(peer, steadyNow());
         }
@@ -87,6 +92,7 @@
         this->changeFeed.advance(steadyNow());
         this->performChangeFeedActions();
         this->sendAttemptCounts();
+        this->sendCrashNews();
     });
     this->changeFeedTimer.start(static_cast<int>(toMs(STORE_DIGEST_INTERVAL)));
 }
@@ -104,6 +110,7 @@
                        [&](const PeerStoreSnapshot &snapshot) { this->changeFeed.onSnapshot(peer, snapshot, now); },
                        [&](const PeerAttemptCounts &received) { this->attemptAggregator.addAttemptCounts(received.attemptCounts); },
                        [&](const PeerServerWarnings &received) { applyWarnings(*this->options.topology.load(), received.warnings, now); },
+                       [&](const PeerCrashNews &received) { this->onCrashNews(peer, received, now); },
                        [&](const auto &) { logEvent(LogLevel::warning, "peer-message-unexpected", {{.key = "peer", .value = peer}}); }},
                *message);
     this->performChangeFeedActions();
@@ -152,6 +159,61 @@
     }
 }
 
+static PeerCrashNews toMessage(const CrashNews &news, Instant now)
+{
+    PeerCrashNews message;
+    for (const ContentCrash &crash : news.crashes) {
+        message.crashes.push_back({.fingerprint = crash.fingerprint, .serverId = crash.serverId, .sentAge = now - crash.sentAt, .lostAge = now - crash.lostAt});
+    }
+    for (const ContentServed &served : news.served) {
+        message.served.push_back({.fingerprint = served.fingerprint, .age = now - served.servedAt});
+    }
+    return message;
+}
+
+void RouteControl::sendCrashNews()
+{
+    const Instant now = steadyNow();
+    const CrashNews news = this->options.crashEvidence.takeNews(MAXIMUM_CRASH_NEWS, now);
+    if (news.empty()) {
+        return;
+    }
+    const PeerMessage message = toMessage(news, now);
+    for (const std::string &peer : this->changeFeed.linkedPeers()) {
+        this->sendTo(peer, message);
+    }
+}
+
+void RouteControl::sendAllCrashNews(const std::string &peer)
+{
+    const Instant now = steadyNow();
+    const CrashNews news = this->options.crashEvidence.allNews(now);
+    if (!news.empty()) {
+        this->sendTo(peer, toMessage(news, now));
+    }
+}
+
+void RouteControl::onCrashNews(const std::string &peer, const PeerCrashNews &received, Instant now)
+{
+    CrashEvidence &evidence = this->options.crashEvidence;
+    for (const PeerContentCrash &crash : received.crashes) {
+        const CrashVerdict verdict = evidence.recordCrash(
+            {.fingerprint = crash.fingerprint, .serverId = crash.serverId, .sentAt = now - crash.sentAge, .lostAt = now - crash.lostAge});
+        if (verdict.startsQuarantine) {
+            logEvent(LogLevel::warning,
+                     "content-quarantined",
+                     {{.key = "content", .value = toHex(crash.fingerprint)},
+                      {.key = "crashes", .value = std::to_string(verdict.crashes)},
+                      {.key = "server", .value = crash.serverId},
+                      {.key = "lost_ms_ago", .value = std::to_string(toMs(crash.lostAge))},
+                      {.key = "peer", .value = peer}});
+        }
+    }
+    for (const PeerContentServed &served : received.served) {
+        evidence.recordServed({.fingerprint = served.fingerprint, .servedAt = now - served.age});
+    }
+}
+
 void RouteControl::perform(const ApplyRelayedEvents &relayed)
 {
     this->registry.extendRemovalGrace(relayed.removalGrace, steadyNow());
--- a/lib/Runtime/RouteProcess.cpp
+++ b/lib/Runtime/RouteProcess.cpp
@@ -27,6 +27,7 @@
                .format = this->options.storeFormat,
                .configuration = this->configuration,
                .topology = this->topology,
+               .crashEvidence = this->crashEvidence,
                .metrics = this->metrics,
                .extraLoad = this->options.settings.extraLoad,
                .registry = {.instance = this->options.settings.instance,
@@ -57,8 +58,9 @@
               .topology = this->topology,
               .admissionCounters = this->admissionCounters,
               .quarantineList = this->quarantineList,
+              .crashEvidence = this->crashEvidence,
               .metrics = this->metrics,
-              // Routes use neither claims nor crash reports, and servers announce their own warm-ups.
+              // Routes use neither claims nor canaries, and servers announce their own warm-ups.
               .control = [](const ControlRequest &) {},
               .callerProtocol = this->options.callerProtocol,
               .backendProtocol = this->options.backendProtocol,
@@ -92,6 +94,7 @@
 
 void RouteProcess::registerGauges()
 {
+    this->metrics.gauge("ragwort_quarantined_contents", {}, [this] { return static_cast<double>(this->crashEvidence.quarantinedContents(steadyNow())); });
     this->metrics.gauge("ragwort_ready", {}, [this] { return this->control.ready() && !this->shuttingDown ? 1.0 : 0.0; });
 }
 
--- a/lib/Runtime/Worker.cpp
+++ b/lib/Runtime/Worker.cpp
@@ -21,6 +21,7 @@
               .topology = this->options.topology,
               .admissionCounters = this->options.admissionCounters,
               .quarantineList = this->options.quarantineList,
+              .crashEvidence = this->options.crashEvidence,
               .seed = this->options.seed + static_cast<std::uint64_t>(this->options.index),
               .sharesPermits = this->options.count > 1})
     , client(this->loop, {.cancelGrace = this->options.cancelGrace, .protocol = this->options.backendProtocol})
@@ -324,6 +325,7 @@
     case Reason::serverEjected:
     case Reason::serverCold:
     case Reason::serverWarmer:
+    case Reason::refusedQuarantined:
     case Reason::crashReported:
     case Reason::contentQuarantined:
     case Reason::snapshotLost:
--- a/lib/Runtime/WorkerPartialQueries.cpp
+++ b/lib/Runtime/WorkerPartialQueries.cpp
@@ -57,7 +57,8 @@
                          .kind = partial.route,
                          .arrival = now,
                          .deadline = now + partial.timeLeft - delay};
-    request.fingerprint = stableHash(partial.forwarded->body, stableHash(partial.forwarded->target));
+    request.fingerprint
+        = partial.contentFingerprint != 0 ? partial.contentFingerprint : stableHash(partial.forwarded->body, stableHash(partial.forwarded->target));
     request.work = ForwardedCall{.request = partial.forwarded,
                                  .route = partial.route,
                                  .selection = ShardSelection{.first = partial.firstShard,
--- a/lib/Wire/PartialQueryCodec.cpp
+++ b/lib/Wire/PartialQueryCodec.cpp
@@ -15,7 +15,7 @@
 enum class PartialQueryType : std::uint8_t { request = 13, reply = 14, cancel = 15 };
 
 /// Numbers of fields, with the type. Fewer than 24, as are the type numbers, so that both take one byte each.
-static constexpr quint64 REQUEST_FIELDS = 16;
+static constexpr quint64 REQUEST_FIELDS = 17;
 static constexpr quint64 REPLY_FIELDS = 14;
 static constexpr quint64 CANCEL_FIELDS = 3;
 /// The first byte of an array with fewer than 24 elements, less their number.
@@ -67,6 +67,7 @@
     writer.endArray();
     appendBytes(writer, request.forwarded->body);
     appendBytes(writer, request.forwarded->callerRequestId);
+    writer.append(quint64{request.contentFingerprint});
     writer.endArray();
 }
 
@@ -130,7 +131,9 @@
 public:
     explicit FieldReader(std::string_view bytes) : reader(bytes.data(), static_cast<qsizetype>(bytes.size()))
     {
-        this->isValid = this->reader.isArray() && this->reader.enterContainer();
+        this->isValid = this->reader.isArray() && this->reader.isLengthKnown();
+        this->fieldCount = this->isValid ? this->reader.length() : 0;
+        this->isValid = this->isValid && this->reader.enterContainer();
     }
 
     bool valid() const
@@ -138,6 +141,12 @@
         return this->isValid;
     }
 
+    /// Returns the number of fields that the message states, with the type.
+    std::uint64_t statedFields() const
+    {
+        return this->fieldCount;
+    }
+
     std::uint64_t number(std::uint64_t maximum = std::numeric_limits<std::uint64_t>::max())
     {
         if (!this->expect([this] { return this->reader.isUnsignedInteger(); })) {
@@ -210,6 +219,7 @@
     }
 
     QCborStreamReader reader;
+    std::uint64_t fieldCount = 0;
     bool isValid = true;
 };
 
@@ -237,6 +247,8 @@
     }
     forwarded->body = fields.bytes();
     forwarded->callerRequestId = fields.bytes();
+    // Earlier versions end here.
+    request.contentFingerprint = fields.statedFields() >= REQUEST_FIELDS ? fields.number() : 0;
     request.forwarded = std::move(forwarded);
     return request;
 }
--- a/lib/Wire/PeerCodec.cpp
+++ b/lib/Wire/PeerCodec.cpp
@@ -7,6 +7,7 @@
 #include <QCborArray>
 #include <QCborMap>
 #include <QCborValue>
+#include <algorithm>
 
 namespace ragwort {
 
@@ -23,13 +24,17 @@
     storeEvents = 9,
     attemptCounts = 10,
     serverWarnings = 11,
-    storeSnapshot = 12
+    storeSnapshot = 12,
+    // 13 to 15 are those of PartialQueryCodec.cpp.
+    crashNews = 16
 };
 
 /// The fields are type, base revision, last revision, removal grace and events.
 static constexpr qsizetype STORE_EVENTS_FIELDS = 5;
 /// The fields are type, revision and items.
 static constexpr qsizetype STORE_SNAPSHOT_FIELDS = 3;
+/// The fields are type, crashes and responses.
+static constexpr qsizetype CRASH_NEWS_FIELDS = 3;
 
 static QCborValue text(const std::string &value)
 {
@@ -205,6 +210,23 @@
     return array;
 }
 
+static QCborArray encode(const PeerCrashNews &message)
+{
+    QCborArray array = beginMessage(PeerType::crashNews);
+    QCborArray crashes;
+    for (const PeerContentCrash &crash : message.crashes) {
+        crashes.append(QCborArray{
+            number(crash.fingerprint), text(crash.serverId), static_cast<qint64>(crash.sentAge.count()), static_cast<qint64>(crash.lostAge.count())});
+    }
+    QCborArray served;
+    for (const PeerContentServed &each : message.served) {
+        served.append(QCborArray{number(each.fingerprint), static_cast<qint64>(each.age.count())});
+    }
+    array.append(crashes);
+    array.append(served);
+    return array;
+}
+
 std::string encodePeerMessage(const PeerMessage &message)
 {
     const QCborArray array = std::visit([](const auto &typed) { return encode(typed); }, message);
@@ -317,6 +339,30 @@
     return message;
 }
 
+/// Returns an age from zero to the time after which crash news are of no use.
+static Duration ageOf(const QCborValue &value)
+{
+    return std::clamp(Duration(value.toInteger()), Duration::zero(), FORWARD_QUARANTINE_TIME);
+}
+
+static PeerCrashNews decodeCrashNews(const QCborArray &array)
+{
+    PeerCrashNews message;
+    const QCborArray crashes = array.at(1).toArray();
+    for (const QCborValue &value : crashes) {
+        const QCborArray crash = value.toArray();
+        const Duration lostAge = ageOf(crash.at(3));
+        message.crashes.push_back(
+            {.fingerprint = numberOf(crash.at(0)), .serverId = textOf(crash.at(1)), .sentAge = std::max(ageOf(crash.at(2)), lostAge), .lostAge = lostAge});
+    }
+    const QCborArray served = array.at(2).toArray();
+    for (const QCborValue &value : served) {
+        const QCborArray each = value.toArray();
+        message.served.push_back({.fingerprint = numberOf(each.at(0)), .age = ageOf(each.at(1))});
+    }
+    return message;
+}
+
 Result<PeerMessage> decodePeerMessage(std::string_view bytes, const std::string &peer)
 {
     QCborParserError error{};
@@ -374,6 +420,11 @@
         return PeerMessage(decodeAttemptCounts(array));
     case PeerType::serverWarnings:
         return PeerMessage(decodeWarnings(array));
+    case PeerType::crashNews:
+        if (array.size() != CRASH_NEWS_FIELDS || !array.at(1).isArray() || !array.at(2).isArray()) {
+            return malformed("crash news message has a wrong number of fields or lacks a list");
+        }
+        return PeerMessage(decodeCrashNews(array));
     }
     return malformed("unknown message type");
 }
--- a/test/FaultMatrix/Simulation.cpp
+++ b/test/FaultMatrix/Simulation.cpp
@@ -74,6 +74,7 @@
               .topology = this->topology,
               .admissionCounters = this->admissionCounters,
               .quarantineList = this->quarantineList,
+              .crashEvidence = this->crashEvidence,
               .seed = simulation.random()})
 {
 }
--- a/test/FaultMatrix/SimulationState.h
+++ b/test/FaultMatrix/SimulationState.h
@@ -115,6 +115,7 @@
     RcuValue<Topology> topology{std::make_shared<const Topology>()};
     AdmissionCounters admissionCounters;
     QuarantineList quarantineList;
+    CrashEvidence crashEvidence;
     ConfigurationManager configurationManager;
     ServerDirectory directory;
     OrdinalManager ordinals;
--- a/unittests/Kernel/EngineHarness.h
+++ b/unittests/Kernel/EngineHarness.h
@@ -27,6 +27,7 @@
                   .topology = this->topology,
                   .admissionCounters = this->admissionCounters,
                   .quarantineList = this->quarantineList,
+                  .crashEvidence = this->crashEvidence,
                   .seed = 1})
     {
         this->group = {.name = "g", .services = 2, .serversPerService = 3, .slots = 2, .connections = 24, .coldCapacity = 1, .extraLoad = 0.5};
@@ -223,6 +224,7 @@
     RcuValue<Topology> topology;
     AdmissionCounters admissionCounters;
     QuarantineList quarantineList;
+    CrashEvidence crashEvidence;
     QueryEngine engine;
     BackendGroup group;
     QueryKind search;
--- a/unittests/Kernel/RouteHarness.h
+++ b/unittests/Kernel/RouteHarness.h
@@ -28,6 +28,7 @@
                   .topology = this->topology,
                   .admissionCounters = this->admissionCounters,
                   .quarantineList = this->quarantineList,
+                  .crashEvidence = this->crashEvidence,
                   .seed = 1,
                   .sharesPermits = false})
     {
@@ -73,16 +74,25 @@
         this->topology.publish(next);
     }
 
-    /// Submits a query of a caller, or of a coordinator if it selects shards.
+    /// Submits a query of a caller, or of a coordinator if it selects shards. Its content is new.
     QueryId submit(const std::string &name = "gather",
                    Duration timeLeft = std::chrono::milliseconds(1500),
                    const std::optional<ShardSelection> &selection = std::nullopt)
+    {
+        return this->submitContent(name, this->lastQuery + 1, timeLeft, selection);
+    }
+
+    /// Submits a query with the content \p fingerprint.
+    QueryId submitContent(const std::string &name,
+                          std::uint64_t fingerprint,
+                          Duration timeLeft = std::chrono::milliseconds(1500),
+                          const std::optional<ShardSelection> &selection = std::nullopt)
     {
         auto forwarded = std::make_shared<ForwardedRequest>();
         forwarded->method = "GET";
-        forwarded->target = "/x/" + std::to_string(++this->lastQuery);
-        QueryRequest request{.id = this->lastQuery, .team = "host", .kind = name, .arrival = this->now, .deadline = this->now + timeLeft};
-        request.fingerprint = this->lastQuery;
+        forwarded->target = "/x/" + std::to_string(fingerprint);
+        QueryRequest request{.id = ++this->lastQuery, .team = "host", .kind = name, .arrival = this->now, .deadline = this->now + timeLeft};
+        request.fingerprint = fingerprint;
         request.work = ForwardedCall{.request = forwarded, .route = name, .selection = selection};
         this->handle(QueryArrived{.request = request});
         return this->lastQuery;
@@ -189,6 +199,7 @@
     RcuValue<Topology> topology;
     AdmissionCounters admissionCounters;
     QuarantineList quarantineList;
+    CrashEvidence crashEvidence;
     QueryEngine engine;
     RouteTable table;
     std::map<std::string, ServerPointer> servers;
@@ -204,16 +215,21 @@
     int instances = 1;
     QueryId lastQuery = 0;
 
+    /// Adds a server to the next topology that is published.
+    void addServer(const std::string &service, const std::string &id, const std::string &domain = "-a")
+    {
+        auto server = std::make_shared<ServerRecord>(
+            ServerIdentity{.id = id, .address = "127.0.0.1:1", .team = {}, .group = {}, .service = service, .domain = domain, .slots = 2});
+        server->warmShare = 8;
+        server->inOtherDomain = domain != "-a";
+        this->servers[id] = server;
+    }
+
 private:
     void addServers(const std::string &service)
     {
         for (const char *suffix : {"-a", "-b", "-c"}) {
-            const std::string id = service + suffix;
-            auto server = std::make_shared<ServerRecord>(
-                ServerIdentity{.id = id, .address = "127.0.0.1:1", .team = {}, .group = {}, .service = service, .domain = suffix, .slots = 2});
-            server->warmShare = 8;
-            server->inOtherDomain = std::string(suffix) != "-a";
-            this->servers[id] = server;
+            this->addServer(service, service + suffix, suffix);
         }
     }
 
--- a/unittests/Platform/HttpProtocolsTest.cpp
+++ b/unittests/Platform/HttpProtocolsTest.cpp
@@ -65,6 +65,30 @@
 
 } // namespace
 
+/// A request that crashes servers is known again under another id and deadline, and not mistaken for that of another caller.
+TEST_F(HttpProtocolsTest, theContentOfARequestIsWhatIsAskedAndWhoAsks)
+{
+    const auto contentOf
+        = [this](const HttpRequest &http) { return std::get<QueryRequest>(this->callers.decode(http, this->configuration, this->now)).fingerprint; };
+    HttpRequest repeated = request("/a/1");
+    repeated.headers[1].value = "id2";
+    repeated.headers[2].value = "400";
+    EXPECT_EQ(contentOf(repeated), contentOf(request("/a/1")));
+    EXPECT_NE(contentOf(request("/a/2")), contentOf(request("/a/1")));
+    HttpRequest otherCaller = request("/a/1");
+    otherCaller.peer = "10.0.0.2";
+    EXPECT_NE(contentOf(otherCaller), contentOf(request("/a/1")));
+    HttpRequest otherAccount = request("/a/1");
+    otherAccount.headers.push_back({.name = "Authorization", .value = "Bearer x"});
+    EXPECT_NE(contentOf(otherAccount), contentOf(request("/a/1")));
+    HttpRequest otherBody = request("/a/1");
+    otherBody.body = "b";
+    EXPECT_NE(contentOf(otherBody), contentOf(request("/a/1")));
+    HttpRequest otherMethod = request("/a/1");
+    otherMethod.method = "PUT";
+    EXPECT_NE(contentOf(otherMethod), contentOf(request("/a/1")));
+}
+
 TEST_F(HttpProtocolsTest, forwardsRequestWithoutHopByHopHeaders)
 {
     const auto decoded = this->callers.decode(request("/a/1?p=2"), this->configuration, this->now);
--- a/unittests/Platform/RouteProcessTest.cpp
+++ b/unittests/Platform/RouteProcessTest.cpp
@@ -397,6 +397,27 @@
     EXPECT_EQ(this->runs("i-0"), before + 3);
 }
 
+/// Guards against review/3: a request that crashes servers comes again at another instance, which did not know of the crashes.
+TEST_F(RouteProcessTest, allInstancesRefuseARequestThatCrashesServers)
+{
+    this->startAll();
+    this->startPeer(2);
+    const int peerPort = CALLERS_PORT + PORT_STRIDE_PER_INSTANCE;
+    ASSERT_TRUE(pumpUntil([&] { return statusOf(this->get(peerPort, "/one/1")) == 200; }));
+    this->setFaultMode("i-0", FakeBackendServer::FaultMode::dropsConnection);
+    ASSERT_TRUE(pumpUntil([this] { return this->get(CALLERS_PORT, "/one/9").find("refused-quarantined") != std::string::npos; }));
+    ASSERT_TRUE(pumpUntil([this] { return this->counter(2, "ragwort_quarantined_contents") == 1; }));
+    this->setFaultMode("i-0", FakeBackendServer::FaultMode::none);
+    const std::uint64_t before = this->runs("i-0");
+    for (const int port : {CALLERS_PORT, peerPort}) {
+        const std::string refusal = this->get(port, "/one/9");
+        EXPECT_EQ(statusOf(refusal), 503);
+        EXPECT_NE(refusal.find("Retry-After"), std::string::npos);
+    }
+    EXPECT_EQ(this->runs("i-0"), before);
+    EXPECT_EQ(statusOf(this->get(peerPort, "/one/10")), 200) << "another content is served";
+}
+
 TEST_F(RouteProcessTest, answers503WhenAllServersReportNotRun)
 {
     this->startAll();
--- a/unittests/Wire/PartialQueryCodecTest.cpp
+++ b/unittests/Wire/PartialQueryCodecTest.cpp
@@ -28,6 +28,7 @@
                                                                             .headers = {{.name = "Host", .value = "h"}, {.name = "X", .value = "\xff\r"}},
                                                                             .body = std::string("\0body", 5),
                                                                             .callerRequestId = "id"});
+    request.contentFingerprint = ~std::uint64_t{1};
     return request;
 }
 
@@ -58,6 +59,7 @@
     EXPECT_EQ(restored.branch, request.branch);
     EXPECT_EQ(restored.route, request.route);
     EXPECT_EQ(restored.routeRevision, request.routeRevision);
+    EXPECT_EQ(restored.contentFingerprint, request.contentFingerprint);
     EXPECT_EQ(restored.firstShard, request.firstShard);
     EXPECT_EQ(restored.shardCount, request.shardCount);
     EXPECT_EQ(restored.minimumShards, request.minimumShards);
@@ -104,6 +106,21 @@
     EXPECT_FALSE(decodePeerMessage(encodePartialQueryMessage(PartialQueryCancel{}), "p"));
 }
 
+/// A coordinator of an earlier version does not tell the identity of the content.
+TEST(PartialQueryCodecTest, acceptsARequestWithoutContentFingerprint)
+{
+    static constexpr char FIELDS_OF_EARLIER_VERSION = '\x90';
+    static constexpr std::size_t FINGERPRINT_BYTES = 9;
+    std::string bytes = encodePartialQueryMessage(makeRequest());
+    bytes[0] = FIELDS_OF_EARLIER_VERSION;
+    bytes.resize(bytes.size() - FINGERPRINT_BYTES);
+    const Result<PartialQueryMessage> decoded = decodePartialQueryMessage(bytes, "p");
+    ASSERT_TRUE(decoded) << decoded.error().describe();
+    const auto &restored = std::get<PartialQueryRequest>(*decoded);
+    EXPECT_EQ(restored.contentFingerprint, 0U);
+    EXPECT_EQ(restored.forwarded->callerRequestId, "id");
+}
+
 /// Guards against a message that is cut and taken for a whole one.
 TEST(PartialQueryCodecTest, rejectsTruncatedMessages)
 {
--- a/unittests/Wire/PeerCodecTest.cpp
+++ b/unittests/Wire/PeerCodecTest.cpp
@@ -93,6 +93,36 @@
     EXPECT_EQ(read.items[1].key, "k2");
 }
 
+TEST(PeerCodecTest, preservesCrashNews)
+{
+    const PeerCrashNews sent{.crashes = {{.fingerprint = ~std::uint64_t{0}, .serverId = "s1", .sentAge = Duration(900), .lostAge = Duration(700)}},
+                             .served = {{.fingerprint = 7, .age = Duration(20)}}};
+    const Result<PeerMessage> decoded = decodePeerMessage(encodePeerMessage(sent), "peer");
+    ASSERT_TRUE(decoded);
+    const auto &read = std::get<PeerCrashNews>(*decoded);
+    ASSERT_EQ(read.crashes.size(), 1U);
+    EXPECT_EQ(read.crashes[0].fingerprint, ~std::uint64_t{0});
+    EXPECT_EQ(read.crashes[0].serverId, "s1");
+    EXPECT_EQ(read.crashes[0].sentAge, Duration(900));
+    EXPECT_EQ(read.crashes[0].lostAge, Duration(700));
+    ASSERT_EQ(read.served.size(), 1U);
+    EXPECT_EQ(read.served[0].fingerprint, 7U);
+    EXPECT_EQ(read.served[0].age, Duration(20));
+}
+
+/// Guards against ages from a peer that lie in the future or overflow when a time is computed from them.
+TEST(PeerCodecTest, boundsTheAgesOfCrashNews)
+{
+    const PeerCrashNews sent{.crashes = {{.fingerprint = 1, .serverId = "s1", .sentAge = Duration(-5), .lostAge = Duration::max()}},
+                             .served = {{.fingerprint = 7, .age = Duration::min()}}};
+    const Result<PeerMessage> decoded = decodePeerMessage(encodePeerMessage(sent), "peer");
+    ASSERT_TRUE(decoded);
+    const auto &read = std::get<PeerCrashNews>(*decoded);
+    EXPECT_EQ(read.crashes.at(0).lostAge, FORWARD_QUARANTINE_TIME);
+    EXPECT_EQ(read.crashes.at(0).sentAge, FORWARD_QUARANTINE_TIME) << "a request is not sent after it is lost";
+    EXPECT_EQ(read.served.at(0).age, Duration::zero());
+}
+
 TEST(PeerCodecTest, rejectsStoreSnapshotWithoutItems)
 {
     // [12, 7]: decoded leniently, the truncated array would mean that the store is empty.
