Crash evidence: a server that answers has not crashed

Cause: a request is also lost when its server resets the connection, as over its limit of connections, and such losses counted as crashes. Change: an answer within a second of the loss, to a request that was sent after it, refutes the crashes of that server. CrashEvidenceTest.aServerThatAnswersHasNotCrashed and CrashStepsTest.connectionsThatAServerResetsAreNoEvidence (both new with the function that they test).

--- a/include/ragwortcart/Kernel/CrashEvidence.h
+++ b/include/ragwortcart/Kernel/CrashEvidence.h
@@ -75,6 +75,10 @@
     /// Records a complete response: the crashes before it no longer count, and a quarantine ends.
     void recordServed(const ContentServed &served);
 
+    /// Records that a server has answered a request that was sent at \p sentAt: requests that it lost shortly before were lost with their
+    /// connections, not with the server.
+    void recordAlive(const std::string &serverId, Instant sentAt, Instant now);
+
     /// Returns the length of the chain of crashes of this content.
     int crashes(std::uint64_t fingerprint, Instant now);
 
@@ -112,6 +116,9 @@
 
     /// Returns the entry if it exists and has not expired. The mutex must be locked.
     Entry *find(std::uint64_t fingerprint, Instant now);
+    /// Removes the crashes for which \p refutes returns true, then the entry if none is left. Returns whether there were any.
+    template <typename Predicate>
+    bool removeCrashes(std::uint64_t fingerprint, Entry &entry, Predicate refutes);
     void evictIfFull();
     void updateCount();
     /// Returns the largest number of crashes in which each lost request was sent after the crash before it.
@@ -119,6 +126,8 @@
 
     std::mutex mutex;
     std::map<std::uint64_t, Entry> entries;
+    /// When each server last lost a request, for the servers that may still turn out to be alive.
+    std::map<std::string, Instant> lastLosses;
     std::vector<ContentServed> unsentServed;
     /// Invariant: the size of `entries`.
     std::atomic<std::size_t> count{0};
--- a/include/ragwortcart/Kernel/QueryEngine.h
+++ b/include/ragwortcart/Kernel/QueryEngine.h
@@ -185,9 +185,11 @@
 
     // Contents that crash servers, on routes (CrashSteps.cpp).
     /// Records that a forwarded request was lost with its server, unless the content is known to be harmless.
-    void recordPossibleCrash(ActiveQuery &query, const QueryPart &part, AttemptId attempt, Instant now);
+    void recordPossibleCrash(ActiveQuery &query, const PartAttempt &lost, Instant now);
     /// Records that a server has run a forwarded request and survived.
     void recordServedContent(const ActiveQuery &query, Instant now);
+    /// Records that a server has answered an attempt of a forwarded request, with whatever status.
+    void recordServerAlive(const ActiveQuery &query, const PartAttempt &attempt, Instant now);
     /// Fails a part whose content is quarantined, or leaves it idle while another part shows whether its server survives the content.
     /// Returns whether the part may be sent.
     bool mayRunContent(ActiveQuery &query, std::size_t partIndex, Instant now);
--- a/lib/Kernel/AttemptSteps.cpp
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -399,8 +399,13 @@
     if (event.failure == SubFailure::serverError) {
         query.serverFailure = event.answer;
         this->recordServedContent(query, now);
+    }
+    const auto ended = std::find_if(part.attempts.begin(), part.attempts.end(), [&event](const PartAttempt &each) { return each.id == event.attempt; });
+    assert(ended != part.attempts.end() && "a failed attempt belongs to its part");
+    if (event.answer) {
+        this->recordServerAlive(query, *ended, now);
     } else if (event.failure == SubFailure::lost) {
-        this->recordPossibleCrash(query, part, event.attempt, now);
+        this->recordPossibleCrash(query, *ended, now);
     }
     const bool serverSurvived = provesNotRun(event.failure) || event.failure == SubFailure::closed;
     if (query.canaryPending && serverSurvived) {
--- a/lib/Kernel/CrashEvidence.cpp
+++ b/lib/Kernel/CrashEvidence.cpp
@@ -12,7 +12,8 @@
 static constexpr std::size_t MAXIMUM_CRASHES_PER_CONTENT = 16;
 /// Maximum number of responses that wait to be sent to other instances.
 static constexpr std::size_t MAXIMUM_UNSENT_SERVED = 1024;
-/// Losses at one server within this time are due to one crash: a process takes longer to start again.
+/// Losses at one server within this time are due to one crash, and a response within this time is that of the process that lost the requests:
+/// a process takes longer to start again.
 static constexpr Duration SAME_CRASH_TIME = std::chrono::seconds(1);
 
 CrashEvidence::Entry *CrashEvidence::find(std::uint64_t fingerprint, Instant now)
@@ -74,6 +75,7 @@
     if (isKnown || entry->crashes.size() >= MAXIMUM_CRASHES_PER_CONTENT) {
         return {.crashes = chainBefore};
     }
+    this->lastLosses[crash.serverId] = std::max(this->lastLosses[crash.serverId], crash.lostAt);
     const auto position = std::upper_bound(
         entry->crashes.begin(), entry->crashes.end(), crash.lostAt, [](Instant lostAt, const KnownCrash &known) { return lostAt < known.crash.lostAt; });
     const auto added = entry->crashes.insert(position, KnownCrash{.crash = crash});
@@ -101,18 +103,44 @@
     if (entry == nullptr) {
         return;
     }
-    const std::size_t refuted = std::erase_if(entry->crashes, [&served](const KnownCrash &known) { return known.crash.lostAt <= served.servedAt; });
-    if (refuted == 0) {
-        return;
+    const auto isRefuted = [&served](const KnownCrash &known) { return known.crash.lostAt <= served.servedAt; };
+    if (this->removeCrashes(served.fingerprint, *entry, isRefuted) && this->unsentServed.size() < MAXIMUM_UNSENT_SERVED) {
+        this->unsentServed.push_back(served);
     }
-    if (entry->crashes.empty()) {
-        this->entries.erase(served.fingerprint);
+}
+
+template <typename Predicate>
+bool CrashEvidence::removeCrashes(std::uint64_t fingerprint, Entry &entry, Predicate refutes)
+{
+    if (std::erase_if(entry.crashes, refutes) == 0) {
+        return false;
+    }
+    if (longestChain(entry) < CRASHES_BEFORE_QUARANTINE) {
+        entry.quarantinedUntil = Instant{};
+    }
+    if (entry.crashes.empty()) {
+        this->entries.erase(fingerprint);
         this->updateCount();
-    } else if (longestChain(*entry) < CRASHES_BEFORE_QUARANTINE) {
-        entry->quarantinedUntil = Instant{};
     }
-    if (this->unsentServed.size() < MAXIMUM_UNSENT_SERVED) {
-        this->unsentServed.push_back(served);
+    return true;
+}
+
+void CrashEvidence::recordAlive(const std::string &serverId, Instant sentAt, Instant now)
+{
+    if (this->count.load(std::memory_order_acquire) == 0) {
+        return;
+    }
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const auto lastLoss = this->lastLosses.find(serverId);
+    if (lastLoss == this->lastLosses.end() || lastLoss->second > sentAt) {
+        return;
+    }
+    this->lastLosses.erase(lastLoss);
+    const auto isRefuted = [&serverId, now](const KnownCrash &known) { return known.crash.serverId == serverId && now - known.crash.lostAt < SAME_CRASH_TIME; };
+    for (auto each = this->entries.begin(); each != this->entries.end();) {
+        // The removal may end the entry.
+        const auto current = each++;
+        this->removeCrashes(current->first, current->second, isRefuted);
     }
 }
 
@@ -152,6 +180,7 @@
     news.served.assign(this->unsentServed.begin(), servedEnd);
     this->unsentServed.erase(this->unsentServed.begin(), servedEnd);
     std::erase_if(this->entries, [now](const auto &each) { return each.second.expiry <= now; });
+    std::erase_if(this->lastLosses, [now](const auto &each) { return now - each.second >= SAME_CRASH_TIME; });
     this->updateCount();
     for (auto &[fingerprint, entry] : this->entries) {
         for (KnownCrash &known : entry.crashes) {
--- a/lib/Kernel/CrashSteps.cpp
+++ b/lib/Kernel/CrashSteps.cpp
@@ -4,8 +4,6 @@
 #include "ragwortcart/Kernel/QueryEngine.h"
 #include "ragwortcart/Support/Hash.h"
 
-#include <cassert>
-
 namespace ragwort {
 
 /// Number of attempts of a query lost with their servers from which on its parts run one at a time.
@@ -16,7 +14,7 @@
     return std::any_of(query.parts.begin(), query.parts.end(), [state](const QueryPart &part) { return part.state == state; });
 }
 
-void QueryEngine::recordPossibleCrash(ActiveQuery &query, const QueryPart &part, AttemptId attempt, Instant now)
+void QueryEngine::recordPossibleCrash(ActiveQuery &query, const PartAttempt &lost, Instant now)
 {
     if (query.route == nullptr) {
         return;
@@ -26,11 +24,9 @@
         // Servers of other shards have survived the same request.
         return;
     }
-    const auto lost = std::find_if(part.attempts.begin(), part.attempts.end(), [attempt](const PartAttempt &each) { return each.id == attempt; });
-    assert(lost != part.attempts.end() && "a failed attempt belongs to its part");
-    const std::string &serverId = lost->server->identity.id;
+    const std::string &serverId = lost.server->identity.id;
     const CrashVerdict verdict
-        = this->crashEvidence.recordCrash({.fingerprint = query.request.fingerprint, .serverId = serverId, .sentAt = lost->sentAt, .lostAt = now});
+        = this->crashEvidence.recordCrash({.fingerprint = query.request.fingerprint, .serverId = serverId, .sentAt = lost.sentAt, .lostAt = now});
     const std::string detail = "content " + toHex(query.request.fingerprint) + " crashes " + std::to_string(verdict.crashes);
     this->report(Reason::crashReported, query.request.id, serverId, detail);
     if (verdict.startsQuarantine) {
@@ -45,6 +41,13 @@
     }
 }
 
+void QueryEngine::recordServerAlive(const ActiveQuery &query, const PartAttempt &attempt, Instant now)
+{
+    if (query.route != nullptr) {
+        this->crashEvidence.recordAlive(attempt.server->identity.id, attempt.sentAt, now);
+    }
+}
+
 bool QueryEngine::isSuspectedContent(const ActiveQuery &query, Instant now)
 {
     return query.route != nullptr && this->crashEvidence.isSuspected(query.request.fingerprint, now);
--- a/lib/Kernel/ForwardSteps.cpp
+++ b/lib/Kernel/ForwardSteps.cpp
@@ -133,6 +133,7 @@
     part.state = PartState::done;
     part.answer = event.answer;
     this->recordServedContent(*query, now);
+    this->recordServerAlive(*query, attempt, now);
     this->finishForwardIfDone(*query, now);
     this->dispatchWaiting(now);
 }
--- a/unittests/Kernel/CrashEvidenceTest.cpp
+++ b/unittests/Kernel/CrashEvidenceTest.cpp
@@ -52,6 +52,29 @@
     EXPECT_EQ(evidence.recordCrash(crashBetween("a", 4, 5)).crashes, 2) << "the process has started again under its id";
 }
 
+/// Guards against the refusal of harmless contents while servers reset connections, for example those over their limit.
+TEST(CrashEvidenceTest, aServerThatAnswersHasNotCrashed)
+{
+    CrashEvidence evidence;
+    const Instant lostAt = BEGIN + seconds(1);
+    evidence.recordCrash(crashBetween("a", 0, 1));
+    evidence.recordAlive("a", lostAt - milliseconds(1), lostAt + milliseconds(1));
+    EXPECT_EQ(evidence.crashes(CONTENT, lostAt), 1) << "the response may be older than the loss";
+    evidence.recordAlive("b", lostAt, lostAt + milliseconds(1));
+    EXPECT_EQ(evidence.crashes(CONTENT, lostAt), 1) << "another server";
+    evidence.recordAlive("a", lostAt, lostAt + milliseconds(1));
+    EXPECT_EQ(evidence.crashes(CONTENT, lostAt), 0);
+    EXPECT_TRUE(evidence.takeNews(10, lostAt + milliseconds(2)).crashes.empty());
+}
+
+TEST(CrashEvidenceTest, aServerThatAnswersAfterItsRestartHasCrashed)
+{
+    CrashEvidence evidence;
+    evidence.recordCrash(crashBetween("a", 0, 1));
+    evidence.recordAlive("a", BEGIN + seconds(4), BEGIN + seconds(5));
+    EXPECT_EQ(evidence.crashes(CONTENT, BEGIN + seconds(5)), 1);
+}
+
 TEST(CrashEvidenceTest, aResponseRefutesTheCrashesBeforeIt)
 {
     CrashEvidence evidence;
--- a/unittests/Kernel/CrashStepsTest.cpp
+++ b/unittests/Kernel/CrashStepsTest.cpp
@@ -182,6 +182,31 @@
     EXPECT_EQ(served, 20);
 }
 
+/// The same beside servers that reset connections and go on: a rejection already shows that the server is alive.
+TEST(CrashStepsTest, connectionsThatAServerResetsAreNoEvidence)
+{
+    CrashHarness harness;
+    for (int round = 0; round < 10; ++round) {
+        harness.submitContent("action", HARMLESS_CONTENT);
+        const SubRequest reset = harness.takeSends().at(0);
+        harness.advanceBy(milliseconds(1));
+        harness.fail(reset, SubFailure::lost);
+        EXPECT_EQ(harness.crashEvidence.crashes(HARMLESS_CONTENT, harness.now), 1) << "round " << round;
+        // Another request reaches each of the servers.
+        while (harness.crashEvidence.crashes(HARMLESS_CONTENT, harness.now) > 0) {
+            harness.submit("action");
+            const SubRequest next = harness.takeSends().at(0);
+            harness.advanceBy(milliseconds(1));
+            harness.fail(next, SubFailure::shed, RouteHarness::answerTo(next));
+            for (const SubRequest &retry : harness.takeSends()) {
+                harness.answer(retry);
+            }
+            harness.advanceBy(milliseconds(1));
+            ASSERT_LT(harness.replies.size(), 1000U);
+        }
+    }
+}
+
 /// Guards against the refusal of a popular content after many servers have crashed at once.
 TEST(CrashStepsTest, aPopularContentIsServedAfterManyServersCrashAtOnce)
 {
