Fake metadata store: a watch may outlive the store (asan-watch-of-fake-store)

Cause: FakeMetadataStore::answerWatch left a timer with the store's address on the event loop; a watch that ended after the store was destroyed read freed memory. A fault of the tests' stand-in, not of the program. The timer now holds a weak reference and does nothing once the store is gone. FakeMetadataStoreTest.aWatchMayOutliveTheStore waits for exactly that.

--- a/unittests/Platform/PlatformFakes.cpp
+++ b/unittests/Platform/PlatformFakes.cpp
@@ -150,7 +150,12 @@
         return;
     }
     this->watches.push_back(watch);
-    this->loop.callAfter(std::chrono::milliseconds(std::stoll(queryValue(query, "wait_ms"))), [this, number = watch.number] {
+    const Duration wait = std::chrono::milliseconds(std::stoll(queryValue(query, "wait_ms")));
+    // The store may be destroyed before the wait is over.
+    this->loop.callAfter(wait, [this, lifetime = std::weak_ptr<const bool>(this->alive), number = watch.number] {
+        if (lifetime.expired()) {
+            return;
+        }
         const auto found = std::find_if(this->watches.begin(), this->watches.end(), [number](const Watch &each) { return each.number == number; });
         if (found != this->watches.end()) {
             found->exchange->respond(json(200, {{"events", QJsonArray()}, {"current_rev", static_cast<qint64>(this->revision)}}));
--- a/unittests/Platform/PlatformFakes.h
+++ b/unittests/Platform/PlatformFakes.h
@@ -83,6 +83,8 @@
     std::uint64_t oldestRevision = 1;
     std::uint64_t lastLease = 100;
     std::uint64_t lastWatchNumber = 0;
+    /// Expires with the store, for timers that outlive it.
+    std::shared_ptr<const bool> alive = std::make_shared<const bool>(true);
 };
 
 /// Fake backend server. Must be used on the thread of its event loop.
--- a/unittests/Platform/RouteProcessTest.cpp
+++ b/unittests/Platform/RouteProcessTest.cpp
@@ -361,6 +361,29 @@
     }
 }
 
+/// Guards against asan-watch-of-fake-store: a watch of the fake store that ends after the store was destroyed read freed memory.
+TEST(FakeMetadataStoreTest, aWatchMayOutliveTheStore)
+{
+    LoopThread thread;
+    std::unique_ptr<FakeMetadataStore> store;
+    const Result<std::uint16_t> port = thread.call([&] {
+        store = std::make_unique<FakeMetadataStore>(thread.loop);
+        return store->listen();
+    });
+    ASSERT_TRUE(port);
+    const RawSocket watcher(*port);
+    watcher.send("GET /kv-watch?prefix=&after=1&wait_ms=100 HTTP/1.1\r\nHost: s\r\n\r\n");
+    ASSERT_TRUE(eventually([&] { return thread.call([&] { return store->openWatches() == 1; }); }));
+    thread.call([&] {
+        store.reset();
+        return 0;
+    });
+    // A timer that is set now and lasts longer than the wait fires after the watch's own.
+    std::promise<void> waitIsOver;
+    thread.loop.callAfter(std::chrono::milliseconds(200), [&waitIsOver] { waitIsOver.set_value(); });
+    waitIsOver.get_future().wait();
+}
+
 TEST_F(RouteProcessTest, answers503WithRetryAfterBeforeFirstConfiguration)
 {
     EXPECT_FALSE(this->ready());
