--- a/lib/Wire/HttpServer.cpp
+++ b/lib/Wire/HttpServer.cpp
@@ -80,6 +80,37 @@
 
 namespace {
 
+/// Why a request is rejected before it is handled.
+struct Rejection
+{
+    int status = 0;
+    const char *detail = nullptr;
+};
+
+/// Checks the transfer coding of a request (RFC 9112, 6.1 and 6.3). The parser treats a request whose coding it does not know as one without a
+/// body, so that its body would be read as the next request.
+std::optional<Rejection> transferCodingFault(const http::request<http::string_body> &message)
+{
+    const std::size_t fields = message.count(http::field::transfer_encoding);
+    if (fields == 0) {
+        return std::nullopt;
+    }
+    if (message.version() < 11) {
+        return Rejection{.status = 400, .detail = "HTTP/1.0 has no transfer codings"};
+    }
+    const auto coding = message[http::field::transfer_encoding];
+    if (fields == 1 && boost::beast::iequals(coding, "chunked")) {
+        return std::nullopt;
+    }
+    const bool isList = coding.find(',') != std::string_view::npos;
+    const bool endsInChunked = isList && boost::beast::iequals(coding.substr(coding.find_last_of(", ") + 1), "chunked");
+    const bool repeatsChunked = endsInChunked && boost::beast::iequals(coding.substr(0, std::string_view("chunked").size()), "chunked");
+    if (fields == 1 && endsInChunked && !repeatsChunked) {
+        return Rejection{.status = 501, .detail = "the only transfer coding that is supported is chunked"};
+    }
+    return Rejection{.status = 400, .detail = "the transfer coding leaves the length of the body unknown"};
+}
+
 /// A connection. Cycles through waiting for a request, reading it and waiting for its response. Reads nothing further while
 /// a response is pending.
 class Session : public std::enable_shared_from_this<Session>
@@ -219,6 +250,10 @@
             this->rejectAndClose(405, "unknown method");
             return;
         }
+        if (const std::optional<Rejection> fault = transferCodingFault(message)) {
+            this->rejectAndClose(fault->status, fault->detail);
+            return;
+        }
         if (boost::beast::iequals(message[http::field::expect], "100-continue") && !this->parser->is_done()) {
             this->sendContinue();
             return;
--- a/unittests/Wire/HttpServerTest.cpp
+++ b/unittests/Wire/HttpServerTest.cpp
@@ -127,6 +127,33 @@
     EXPECT_EQ(this->counts().requests, 0U);
 }
 
+/// Guards against review/2: a body whose transfer coding does not end in "chunked" has no known length, and was run as another request.
+TEST_F(HttpServerTest, rejectsTransferCodingsThatLeaveTheLengthUnknown)
+{
+    this->start();
+    const std::string smuggled = get("/smuggled");
+    for (const std::string coding : {"gzip", "xchunked", "chunked, identity", "", "chunked, chunked", "\"chunked\""}) {
+        const std::string answer = this->exchange("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + smuggled);
+        EXPECT_NE(answer.find("HTTP/1.1 400"), std::string::npos) << coding << ": " << answer;
+        EXPECT_EQ(answer.find("echo"), std::string::npos) << coding;
+    }
+    const std::string chunks = "0\r\n\r\n" + smuggled;
+    for (const std::string head : {"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                   "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                   "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding : chunked\r\n\r\n",
+                                   "POST /a HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
+        const std::string answer = this->exchange(head + chunks);
+        EXPECT_NE(answer.find(" 400 "), std::string::npos) << head << answer;
+        EXPECT_EQ(answer.find("echo"), std::string::npos) << head;
+    }
+    const std::string unsupported = this->exchange("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n" + chunks);
+    EXPECT_NE(unsupported.find("HTTP/1.1 501"), std::string::npos) << unsupported;
+    EXPECT_EQ(this->counts().requests, 0U);
+    EXPECT_NE(
+        this->exchange("POST /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\nTransfer-Encoding: Chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n").find("echo /a abc."),
+        std::string::npos);
+}
+
 TEST_F(HttpServerTest, enforcesSizeLimits)
 {
     this->start({.requestLimits = {.maximumHeaderBytes = 1024, .maximumBodyBytes = 100}});
