--- a/lib/Wire/HttpServer.cpp
+++ b/lib/Wire/HttpServer.cpp
@@ -375,8 +375,7 @@
         const bool keepAlive
             = !response.close && !this->core->draining && !this->core->closing && (!this->parser->is_header_done() || this->parser->get().keep_alive());
         this->response->keep_alive(keepAlive);
-        this->response->body() = response.body;
-        this->response->prepare_payload();
+        this->setBody(response);
         this->armTimer(this->core->requestLimits.requestTimeout, &Session::close);
         http::async_write(this->socket, *this->response, [self = this->shared_from_this(), keepAlive](const ErrorCode &error, std::size_t) {
             if (self->closed) {
@@ -390,6 +389,20 @@
         });
     }
 
+    /// Sets the body and its length. An answer to HEAD and one whose status forbids a body have none, whatever the handler gives.
+    void setBody(const HttpResponse &response)
+    {
+        const bool isHead = this->parser->is_header_done() && this->parser->get().method() == http::verb::head;
+        const bool statusForbidsBody = response.status < 200 || response.status == 204 || response.status == 304;
+        if (!isHead && !statusForbidsBody) {
+            this->response->body() = response.body;
+            this->response->prepare_payload();
+        } else if (isHead && !statusForbidsBody && !response.body.empty()) {
+            // The length that the body would have in an answer to GET.
+            this->response->content_length(response.body.size());
+        }
+    }
+
     /// Half-closes the connection and discards incoming data for `LINGER_TIME`: closing with unread data would reset the
     /// connection, and the caller could lose the response.
     void finishAndClose()
--- a/unittests/Wire/HttpServerTest.cpp
+++ b/unittests/Wire/HttpServerTest.cpp
@@ -154,6 +154,35 @@
         std::string::npos);
 }
 
+/// Guards against review/4: the body of an answer to HEAD was read where the answer to the next request is due.
+TEST_F(HttpServerTest, answersHeadWithoutBody)
+{
+    this->start();
+    const RawSocket socket(this->port);
+    socket.send("HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n" + get("/b", "Connection: close\r\n"));
+    const std::string text = socket.readAll();
+    EXPECT_EQ(text.find("echo /a"), std::string::npos) << text;
+    EXPECT_NE(text.find("Content-Length: 9\r\n"), std::string::npos) << "the length that GET would have: " << text;
+    EXPECT_NE(text.find("\r\n\r\nHTTP/1.1 200 OK"), std::string::npos) << "the next answer follows the head at once: " << text;
+}
+
+/// Answers with status 204 or 304 have no body either, whoever made them; one ended the process.
+TEST_F(HttpServerTest, answersWithoutBodyWhereTheStatusForbidsOne)
+{
+    this->start();
+    for (const int status : {204, 304}) {
+        const RawSocket socket(this->port);
+        const int before = this->heldCount;
+        socket.send(get("/hold") + get("/b", "Connection: close\r\n"));
+        ASSERT_TRUE(eventually([&] { return this->heldCount == before + 1; }));
+        this->thread.call([&] { this->held.back()->respond({.status = status, .headers = {}, .body = "surplus"}); });
+        const std::string text = socket.readAll();
+        EXPECT_EQ(text.find("surplus"), std::string::npos) << text;
+        EXPECT_NE(text.find("\r\n\r\nHTTP/1.1 200 OK"), std::string::npos) << text;
+        EXPECT_NE(text.find("echo /b"), std::string::npos) << text;
+    }
+}
+
 TEST_F(HttpServerTest, enforcesSizeLimits)
 {
     this->start({.requestLimits = {.maximumHeaderBytes = 1024, .maximumBodyBytes = 100}});
