BackendClient: a response with another transfer coding is invalid

Cause: the parser reads a body with an unknown coding until the connection ends, and the client passed it on as the server's bytes. Its attempt now fails as a protocol violation and the connection is closed. BackendClientTest.rejectsResponsesWithAnotherTransferCoding failed before (the body was an answer) and passes.

--- a/lib/Wire/BackendClient.cpp
+++ b/lib/Wire/BackendClient.cpp
@@ -354,6 +354,11 @@
 
     SubOutcome decodeResponse(http::response<http::string_body> &message)
     {
+        const std::size_t codings = message.count(http::field::transfer_encoding);
+        if (codings > 1 || (codings == 1 && !boost::beast::iequals(message[http::field::transfer_encoding], "chunked"))) {
+            // The parser has not decoded the body, so that it is not what the server means.
+            return SubFailureReport{.failure = SubFailure::protocol, .report = std::nullopt, .answer = std::nullopt};
+        }
         BackendHttpResponse response{.status = static_cast<int>(message.result_int()), .headers = {}, .body = std::move(message.body())};
         for (const auto &field : message) {
             response.headers.push_back({.name = std::string(field.name_string()), .value = std::string(field.value())});
--- a/unittests/Wire/BackendClientTest.cpp
+++ b/unittests/Wire/BackendClientTest.cpp
@@ -341,6 +341,86 @@
     }
 }
 
+namespace {
+
+/// Encodes requests that the HTTP library refuses for texts that tell so; takes any response as an answer.
+class RawProtocol final : public BackendProtocol
+{
+public:
+    BackendHttpRequest encode(const SubRequest &request, Instant /*now*/) const override
+    {
+        if (request.text == "trace") {
+            return {.method = "TRACE", .target = "/", .headers = {}, .body = "abc"};
+        }
+        if (request.text == "long") {
+            return {.method = "GET", .target = "/", .headers = {{.name = "A", .value = std::string(70'000, 'a')}}, .body = {}};
+        }
+        return {.method = "GET", .target = "/", .headers = {}, .body = {}};
+    }
+    SubOutcome decode(const SubRequest & /*request*/, BackendHttpResponse response) const override
+    {
+        return ForwardedAnswer{.status = response.status, .headers = {}, .body = std::move(response.body), .signature = "s", .statement = {}};
+    }
+    bool supportsStatus() const override
+    {
+        return false;
+    }
+};
+
+/// Accepts one connection, sends a response to the first bytes that it reads, and closes the connection.
+class OneResponseServer
+{
+public:
+    explicit OneResponseServer(const std::string &response) : listener(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        ::bind(this->listener, reinterpret_cast<const sockaddr *>(&address), size);
+        ::listen(this->listener, 1);
+        ::getsockname(this->listener, reinterpret_cast<sockaddr *>(&address), &size);
+        this->port = ntohs(address.sin_port);
+        this->thread = std::thread([this, response] {
+            const int connection = ::accept(this->listener, nullptr, nullptr);
+            char request[4096];
+            if (::recv(connection, request, sizeof request, 0) > 0) {
+                ::send(connection, response.data(), response.size(), MSG_NOSIGNAL);
+            }
+            ::close(connection);
+        });
+    }
+    ~OneResponseServer()
+    {
+        this->thread.join();
+        ::close(this->listener);
+    }
+    OneResponseServer(const OneResponseServer &) = delete;
+    OneResponseServer &operator=(const OneResponseServer &) = delete;
+
+    std::uint16_t port = 0;
+
+private:
+    int listener;
+    std::thread thread;
+};
+
+} // namespace
+
+/// A body that has been coded in an unknown way is not the server's answer.
+TEST_F(BackendClientTest, rejectsResponsesWithAnotherTransferCoding)
+{
+    const RawProtocol protocol;
+    for (const std::string fields : {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: identity\r\n", "Transfer-Encoding: gzip, chunked\r\n"}) {
+        const std::string body = fields.find("chunked") == std::string::npos ? "abc" : "3\r\nabc\r\n0\r\n\r\n";
+        const OneResponseServer raw("HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body);
+        this->address = "127.0.0.1:" + std::to_string(raw.port);
+        this->thread.call([&] { this->client = std::make_unique<BackendClient>(this->thread.loop, BackendClient::Options{.protocol = protocol}); });
+        EXPECT_EQ(this->failureOf("x"), SubFailure::protocol) << fields;
+    }
+    this->thread.call([this] { this->client.reset(); });
+}
+
 TEST_F(BackendClientTest, fetchesServerStatus)
 {
     std::promise<Result<ServerStatus>> promise;
