--- a/include/ragwortcart/Model/Query.h
+++ b/include/ragwortcart/Model/Query.h
@@ -117,6 +117,8 @@
     connectFailed,
     /// The deadline passed while the request waited for a connection; no byte was sent.
     expired,
+    /// The request cannot be encoded for a server; no byte was sent.
+    unsendable,
     /// The connection ended after bytes had been sent, and it is not confirmed that the same server process is still running.
     lost,
     /// The connection ended after bytes had been sent; the same server process is still running.
--- a/include/ragwortcart/Runtime/Worker.h
+++ b/include/ragwortcart/Runtime/Worker.h
@@ -120,6 +120,12 @@
         return this->openQueryCount.load(std::memory_order_acquire) == 0;
     }
 
+    /// Returns the number of tasks of this worker's thread that have ended with an exception. Thread-safe.
+    std::uint64_t failedTasks() const
+    {
+        return this->loop.failedTasks();
+    }
+
     void stopAndJoin();
 
     /// Must be called on this worker's thread.
--- a/include/ragwortcart/Wire/EventLoop.h
+++ b/include/ragwortcart/Wire/EventLoop.h
@@ -5,6 +5,8 @@
 
 #include "ragwortcart/Support/Clock.h"
 
+#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -20,7 +22,8 @@
     EventLoop(const EventLoop &) = delete;
     EventLoop &operator=(const EventLoop &) = delete;
 
-    /// Runs the loop on the calling thread until `stop()` is called. Must not be called from two threads at once.
+    /// Runs the loop on the calling thread until `stop()` is called. Must not be called from two threads at once. A task that ends with an
+    /// exception is logged and counted, and the loop goes on: what the task belonged to ends by its own timeout.
     void run();
     /// Makes `run()` return after the current task. Remaining tasks are destroyed with the loop, without being run. Thread-safe.
     void stop();
@@ -29,6 +32,12 @@
     /// Runs \p task after \p delay. Must be called on the loop's thread.
     void callAfter(Duration delay, std::function<void()> task);
 
+    /// Returns the number of tasks that have ended with an exception. Thread-safe.
+    std::uint64_t failedTasks() const
+    {
+        return this->failedTaskCount.load(std::memory_order_relaxed);
+    }
+
     /// Returns the Boost.Asio state, for code that uses sockets directly.
     AsioLoop &implementation()
     {
@@ -37,6 +46,7 @@
 
 private:
     std::unique_ptr<AsioLoop> loop;
+    std::atomic<std::uint64_t> failedTaskCount{0};
 };
 
 /// A re-armable one-shot timer. Must be used on the loop's thread only.
--- a/lib/Kernel/AttemptSteps.cpp
+++ b/lib/Kernel/AttemptSteps.cpp
@@ -3,6 +3,7 @@
 #include "QueryState.h"
 #include "ragwortcart/Kernel/QueryEngine.h"
 
+#include <QScopedValueRollback>
 #include <cassert>
 
 namespace ragwort {
@@ -111,7 +112,7 @@
     if (this->dispatchingWaiting || this->waitingParts.empty()) {
         return;
     }
-    this->dispatchingWaiting = true;
+    const QScopedValueRollback<bool> dispatching(this->dispatchingWaiting, true);
     std::vector<std::pair<QueryId, std::size_t>> waiting = std::exchange(this->waitingParts, {});
     const auto urgencyOf = [this](const std::pair<QueryId, std::size_t> &entry) {
         const ActiveQuery *query = this->find(entry.first);
@@ -128,7 +129,6 @@
             }
         }
     }
-    this->dispatchingWaiting = false;
 }
 
 bool QueryEngine::sendAttempt(ActiveQuery &query, std::size_t partIndex, const ServerPointer &server, bool hedge, Instant now)
@@ -460,7 +460,8 @@
     this->candidates(query, part, now, anyUsable);
     // An attempt without a connection added no load to a server, so its retry needs no budget.
     const bool withinAllowance = failure == SubFailure::connectFailed || this->allowsExtraRequest(query, part, ExtraRequestPurpose::retry);
-    const bool allowed = failure != SubFailure::expired && anyUsable && mayAttempt(query, part) && this->mayExposeAnotherServer(query, now) && withinAllowance;
+    const bool mayHelp = failure != SubFailure::expired && failure != SubFailure::unsendable;
+    const bool allowed = mayHelp && anyUsable && mayAttempt(query, part) && this->mayExposeAnotherServer(query, now) && withinAllowance;
     if (allowed && state.retry->retry(context, this->budgetOf(query, part))) {
         ++query.retries;
         this->report(Reason::retried, query.request.id);
--- a/lib/Kernel/ServerHealth.cpp
+++ b/lib/Kernel/ServerHealth.cpp
@@ -128,7 +128,7 @@
 
 void QueryEngine::recordFailure(ActiveQuery &query, ServerRecord &server, SubFailure failure, Instant now)
 {
-    if (failure == SubFailure::expired) {
+    if (failure == SubFailure::expired || failure == SubFailure::unsendable) {
         // The server has not seen the request.
         return;
     }
@@ -144,6 +144,7 @@
         server.setExclusion(ServerRecord::draining, true);
         return;
     case SubFailure::expired:
+    case SubFailure::unsendable:
     case SubFailure::shed:
     case SubFailure::snapshotGone:
         return;
--- a/lib/Model/Query.cpp
+++ b/lib/Model/Query.cpp
@@ -13,6 +13,8 @@
         return "connect-failed";
     case SubFailure::expired:
         return "deadline-passed";
+    case SubFailure::unsendable:
+        return "unsendable";
     case SubFailure::lost:
         return "server-lost";
     case SubFailure::closed:
@@ -40,6 +42,7 @@
     switch (failure) {
     case SubFailure::connectFailed:
     case SubFailure::expired:
+    case SubFailure::unsendable:
     case SubFailure::shed:
     case SubFailure::draining:
     case SubFailure::snapshotGone:
--- a/lib/Runtime/RouteProcess.cpp
+++ b/lib/Runtime/RouteProcess.cpp
@@ -95,6 +95,7 @@
 void RouteProcess::registerGauges()
 {
     this->metrics.gauge("ragwort_quarantined_contents", {}, [this] { return static_cast<double>(this->crashEvidence.quarantinedContents(steadyNow())); });
+    this->metrics.gauge("ragwort_failed_tasks", {}, [this] { return static_cast<double>(this->worker.failedTasks()); });
     this->metrics.gauge("ragwort_ready", {}, [this] { return this->control.ready() && !this->shuttingDown ? 1.0 : 0.0; });
 }
 
--- a/lib/Runtime/Worker.cpp
+++ b/lib/Runtime/Worker.cpp
@@ -8,6 +8,7 @@
 #include "ragwortcart/Support/Visitor.h"
 #include "ragwortcart/Wire/PartialQueryCodec.h"
 
+#include <QScopedValueRollback>
 #include <cassert>
 #include <random>
 
@@ -189,13 +190,14 @@
     if (this->performingActions) {
         return;
     }
-    this->performingActions = true;
-    for (std::vector<KernelAction> actions = this->engine.takeActions(); !actions.empty(); actions = this->engine.takeActions()) {
-        for (const KernelAction &action : actions) {
-            this->perform(action);
+    {
+        const QScopedValueRollback<bool> performing(this->performingActions, true);
+        for (std::vector<KernelAction> actions = this->engine.takeActions(); !actions.empty(); actions = this->engine.takeActions()) {
+            for (const KernelAction &action : actions) {
+                this->perform(action);
+            }
         }
     }
-    this->performingActions = false;
     const std::optional<Instant> next = this->engine.nextWakeup();
     if (!next) {
         this->wakeup.cancel();
--- a/lib/Wire/BackendClient.cpp
+++ b/lib/Wire/BackendClient.cpp
@@ -5,6 +5,7 @@
 #include "AsioLoop.h"
 #include "StatusFetch.h"
 #include "ragwortcart/Support/Hash.h"
+#include "ragwortcart/Support/Log.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -258,16 +259,10 @@
     {
         this->established = true;
         ++this->core.counts.requests;
-        BackendHttpRequest encoded = this->core.options.protocol.encode(this->current.request, steadyNow());
-        this->request = {};
-        this->request.method_string(encoded.method);
-        this->request.target(encoded.target);
-        this->request.version(11);
-        for (const HeaderField &field : encoded.headers) {
-            this->request.insert(field.name, field.value);
+        if (!this->encodeRequest()) {
+            this->fail(SubFailure::unsendable);
+            return;
         }
-        this->request.body() = std::move(encoded.body);
-        this->request.prepare_payload();
         http::async_write(this->socket, this->request, [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
             if (self->closed) {
                 return;
@@ -280,6 +275,33 @@
         });
     }
 
+    /// Encodes the current request. Returns false if the encoder refuses it, which it does by throwing: a body with a method that has none, or
+    /// a field that is too long.
+    bool encodeRequest()
+    {
+        BackendHttpRequest encoded = this->core.options.protocol.encode(this->current.request, steadyNow());
+        try {
+            this->request = {};
+            this->request.method_string(encoded.method);
+            this->request.target(encoded.target);
+            this->request.version(11);
+            for (const HeaderField &field : encoded.headers) {
+                this->request.insert(field.name, field.value);
+            }
+            this->request.body() = std::move(encoded.body);
+            this->request.prepare_payload();
+        } catch (const std::exception &error) {
+            logEvent(LogLevel::warning,
+                     "request-unsendable",
+                     {{.key = "query", .value = std::to_string(this->current.request.query)},
+                      {.key = "server", .value = this->current.request.serverId},
+                      {.key = "method", .value = encoded.method},
+                      {.key = "error", .value = error.what()}});
+            return false;
+        }
+        return true;
+    }
+
     void readResponse()
     {
         this->parser.emplace();
--- a/lib/Wire/EventLoop.cpp
+++ b/lib/Wire/EventLoop.cpp
@@ -3,6 +3,7 @@
 #include "ragwortcart/Wire/EventLoop.h"
 
 #include "AsioLoop.h"
+#include "ragwortcart/Support/Log.h"
 
 #include <boost/asio/post.hpp>
 
@@ -16,7 +17,15 @@
 
 void EventLoop::run()
 {
-    this->loop->context.run();
+    for (;;) {
+        try {
+            this->loop->context.run();
+            return;
+        } catch (const std::exception &error) {
+            this->failedTaskCount.fetch_add(1, std::memory_order_relaxed);
+            logEvent(LogLevel::error, "task-failed", {{.key = "step", .value = "event-loop"}, {.key = "error", .value = error.what()}});
+        }
+    }
 }
 
 void EventLoop::stop()
--- a/lib/Wire/HttpServer.cpp
+++ b/lib/Wire/HttpServer.cpp
@@ -250,6 +250,11 @@
             this->rejectAndClose(405, "unknown method");
             return;
         }
+        const bool hasBody = this->parser->chunked() || this->parser->content_length().value_or(0) > 0;
+        if (message.method() == http::verb::trace && hasBody) {
+            this->rejectAndClose(400, "TRACE has no body");
+            return;
+        }
         if (const std::optional<Rejection> fault = transferCodingFault(message)) {
             this->rejectAndClose(fault->status, fault->detail);
             return;
--- a/unittests/Wire/BackendClientTest.cpp
+++ b/unittests/Wire/BackendClientTest.cpp
@@ -407,6 +407,18 @@
 
 } // namespace
 
+/// Guards against review/1: a request that cannot be encoded ended the process, and with it all others.
+TEST_F(BackendClientTest, aRequestThatCannotBeEncodedFailsAlone)
+{
+    const RawProtocol protocol;
+    this->thread.call([&] { this->client = std::make_unique<BackendClient>(this->thread.loop, BackendClient::Options{.protocol = protocol}); });
+    EXPECT_EQ(this->failureOf("trace"), SubFailure::unsendable);
+    EXPECT_EQ(this->failureOf("long"), SubFailure::unsendable);
+    EXPECT_TRUE(provesNotRun(SubFailure::unsendable));
+    EXPECT_EQ(this->thread.loop.failedTasks(), 0U);
+    this->thread.call([this] { this->client.reset(); });
+}
+
 /// A body that has been coded in an unknown way is not the server's answer.
 TEST_F(BackendClientTest, rejectsResponsesWithAnotherTransferCoding)
 {
--- a/unittests/Wire/HttpServerTest.cpp
+++ b/unittests/Wire/HttpServerTest.cpp
@@ -127,6 +127,29 @@
     EXPECT_EQ(this->counts().requests, 0U);
 }
 
+/// Guards against review/1: TRACE with a body cannot be passed on, and the attempt to do so ended the process.
+TEST_F(HttpServerTest, rejectsTraceWithBody)
+{
+    this->start();
+    EXPECT_NE(this->exchange("TRACE /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc").find("HTTP/1.1 400"), std::string::npos);
+    EXPECT_NE(this->exchange("TRACE /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n").find("HTTP/1.1 400"),
+              std::string::npos);
+    EXPECT_NE(this->exchange("TRACE /a HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n").find("echo /a ."), std::string::npos);
+    EXPECT_EQ(this->counts().requests, 1U);
+}
+
+/// Guards against review/1: a field longer than the HTTP library takes, where the limits allow it, ended the process.
+TEST_F(HttpServerTest, aFieldThatCannotBeParsedEndsItsConnectionOnly)
+{
+    this->start({.requestLimits = {.maximumHeaderBytes = 262'144, .requestTimeout = std::chrono::milliseconds(300)}});
+    const RawSocket other(this->port);
+    other.send(get("/hold"));
+    ASSERT_TRUE(eventually([this] { return this->heldCount == 1; }));
+    EXPECT_EQ(this->exchange("GET /a HTTP/1.1\r\nHost: x\r\nA: " + std::string(70'000, 'a') + "\r\n\r\n").find("echo"), std::string::npos);
+    this->thread.call([this] { this->held.back()->respond({.status = 200, .headers = {}, .body = "served"}); });
+    EXPECT_NE(other.readUntil("served").find("served"), std::string::npos);
+}
+
 /// Guards against review/2: a body whose transfer coding does not end in "chunked" has no known length, and was run as another request.
 TEST_F(HttpServerTest, rejectsTransferCodingsThatLeaveTheLengthUnknown)
 {
--- a/unittests/Wire/LoopTimerTest.cpp
+++ b/unittests/Wire/LoopTimerTest.cpp
@@ -3,6 +3,7 @@
 #include "LoopThread.h"
 
 #include <gtest/gtest.h>
+#include <stdexcept>
 
 namespace ragwort {
 
@@ -37,6 +38,15 @@
     std::vector<int> executed;
 };
 
+/// Guards against review/1: an exception from one task ended the process and with it the work of all others.
+TEST(EventLoopTest, goesOnAfterATaskThatEndsWithAnException)
+{
+    LoopThread thread;
+    thread.loop.post([] { throw std::invalid_argument("of this task only"); });
+    EXPECT_EQ(thread.call([] { return 7; }), 7);
+    EXPECT_EQ(thread.loop.failedTasks(), 1U);
+}
+
 TEST_F(LoopTimerTest, rearmingForLaterReplacesPendingTask)
 {
     this->arm(milliseconds(5), 1);
