--- a/include/ragwortcart/Runtime/Worker.h
+++ b/include/ragwortcart/Runtime/Worker.h
@@ -113,11 +113,11 @@
     /// Refuses new queries and lets running queries finish. Thread-safe.
     void drain();
 
-    /// Returns true if all queries received by this worker have ended and their responses have been passed to the connections. The
-    /// queries may be served by other workers. Thread-safe.
+    /// Returns true if all queries received by this worker have ended and their responses have been written. The queries may be served by other
+    /// workers. Thread-safe.
     bool idle() const
     {
-        return this->openQueryCount.load(std::memory_order_acquire) == 0;
+        return this->openQueryCount.load(std::memory_order_acquire) == 0 && this->server.unansweredRequests() == 0;
     }
 
     /// Returns the number of tasks of this worker's thread that have ended with an exception. Thread-safe.
--- a/include/ragwortcart/Wire/HttpServer.h
+++ b/include/ragwortcart/Wire/HttpServer.h
@@ -94,8 +94,10 @@
     {
         std::size_t maximumHeaderBytes = 16 * 1024;
         std::size_t maximumBodyBytes = 256 * 1024;
-        /// Time from the first byte of a request to its last. Also the time allowed for sending a response.
+        /// Time from the first byte of a request to its last.
         Duration requestTimeout = std::chrono::seconds(5);
+        /// Time without any progress of a response after which its connection is closed: the caller does not read.
+        Duration stallTimeout = std::chrono::seconds(5);
         /// Time that a connection may wait for the first byte of a request.
         Duration idleTimeout = std::chrono::seconds(75);
     };
@@ -134,6 +136,9 @@
 
     HttpServerCounts counts() const;
 
+    /// Returns the number of requests that have been read and whose response has not been written to its end. Thread-safe.
+    std::size_t unansweredRequests() const;
+
     /// Private implementation; declared public so that sessions can refer to it.
     class Core;
 
--- a/lib/Wire/HttpServer.cpp
+++ b/lib/Wire/HttpServer.cpp
@@ -4,6 +4,7 @@
 
 #include "AsioLoop.h"
 
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -64,6 +65,8 @@
     RequestLimits requestLimits;
     HttpHandler handler;
     HttpServerCounts counts;
+    /// Number of sessions whose `answering` is set.
+    std::atomic<std::size_t> unansweredRequests{0};
     bool draining = false;
     /// Whether every response carries `Connection: close`.
     bool closing = false;
@@ -143,6 +146,7 @@
             return;
         }
         this->closed = true;
+        this->setAnswering(false);
         this->timer.cancel();
         ErrorCode ignored;
         this->socket.shutdown(Tcp::socket::shutdown_both, ignored);
@@ -191,6 +195,13 @@
         });
     }
 
+    void setAnswering(bool isAnswering)
+    {
+        if (std::exchange(this->answering, isAnswering) != isAnswering) {
+            this->core->unansweredRequests.fetch_add(isAnswering ? 1 : std::size_t(-1), std::memory_order_acq_rel);
+        }
+    }
+
     void cancelTimer()
     {
         ++this->timerGeneration;
@@ -381,11 +392,23 @@
             = !response.close && !this->core->draining && !this->core->closing && (!this->parser->is_header_done() || this->parser->get().keep_alive());
         this->response->keep_alive(keepAlive);
         this->setBody(response);
-        this->armTimer(this->core->requestLimits.requestTimeout, &Session::close);
-        http::async_write(this->socket, *this->response, [self = this->shared_from_this(), keepAlive](const ErrorCode &error, std::size_t) {
+        this->serializer.emplace(*this->response);
+        this->writeMore(keepAlive);
+    }
+
+    /// Writes the rest of the response. A caller that reads slowly gets all of it; one that does not read is cut off.
+    void writeMore(bool keepAlive)
+    {
+        this->armTimer(this->core->requestLimits.stallTimeout, &Session::close);
+        http::async_write_some(this->socket, *this->serializer, [self = this->shared_from_this(), keepAlive](const ErrorCode &error, std::size_t) {
             if (self->closed) {
                 return;
             }
+            if (!error && !self->serializer->is_done()) {
+                self->writeMore(keepAlive);
+                return;
+            }
+            self->setAnswering(false);
             if (error || !keepAlive) {
                 self->finishAndClose();
                 return;
@@ -446,6 +469,8 @@
     boost::beast::flat_buffer buffer;
     std::optional<Parser> parser;
     std::optional<http::response<http::string_body>> response;
+    /// The part of `response` that has not been written.
+    std::optional<http::response_serializer<http::string_body>> serializer;
     /// Buffer for incoming data that `discard()` ignores.
     std::array<char, 4096> discarded{};
     /// Empty if no response is pending or no callback is registered.
@@ -456,6 +481,8 @@
     bool responded = true;
     /// Whether a request is being read or answered.
     bool busy = false;
+    /// Whether a request has been read whose response has not been written to its end.
+    bool answering = false;
     bool closed = false;
 };
 
@@ -493,6 +520,7 @@
     ++this->core->counts.requests;
     ++this->exchangeNumber;
     this->responded = false;
+    this->setAnswering(true);
     const auto &message = this->parser->get();
     HttpRequest request{.method = std::string(message.method_string()),
                         .target = std::string(message.target()),
@@ -644,6 +672,11 @@
     this->core->abort();
 }
 
+std::size_t HttpServer::unansweredRequests() const
+{
+    return this->core->unansweredRequests.load(std::memory_order_acquire);
+}
+
 HttpServerCounts HttpServer::counts() const
 {
     HttpServerCounts counts = this->core->counts;
--- a/unittests/Wire/HttpServerTest.cpp
+++ b/unittests/Wire/HttpServerTest.cpp
@@ -206,6 +206,51 @@
     }
 }
 
+/// More than the kernel takes of a response that is not read.
+static constexpr std::size_t LARGE_BODY_BYTES = 32 * 1024 * 1024;
+
+/// Guards against the cut of answers that are still read: the time limit of a request's head ended them.
+TEST_F(HttpServerTest, aSlowReaderGetsItsWholeAnswer)
+{
+    this->start({.requestLimits = {.requestTimeout = std::chrono::milliseconds(100)}});
+    const RawSocket socket(this->port);
+    socket.send(get("/hold", "Connection: close\r\n"));
+    ASSERT_TRUE(eventually([this] { return this->heldCount == 1; }));
+    this->thread.call([this] { this->held.back()->respond({.status = 200, .headers = {}, .body = std::string(LARGE_BODY_BYTES, 'b')}); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    EXPECT_GT(socket.readAll().size(), LARGE_BODY_BYTES);
+}
+
+/// A caller that does not read at all must not hold its response for ever.
+TEST_F(HttpServerTest, aCallerThatDoesNotReadIsCutOff)
+{
+    this->start({.requestLimits = {.stallTimeout = std::chrono::milliseconds(100)}});
+    const RawSocket socket(this->port);
+    socket.send(get("/hold"));
+    ASSERT_TRUE(eventually([this] { return this->heldCount == 1; }));
+    this->thread.call([this] { this->held.back()->respond({.status = 200, .headers = {}, .body = std::string(LARGE_BODY_BYTES, 'b')}); });
+    EXPECT_TRUE(eventually([this] { return this->counts().openConnections == 0; }));
+    EXPECT_EQ(this->server->unansweredRequests(), 0U);
+}
+
+/// Guards against review/5: a process that was asked to stop took a response that was still being written for a finished one.
+TEST_F(HttpServerTest, aRequestIsUnansweredUntilItsResponseIsWritten)
+{
+    this->start();
+    EXPECT_EQ(this->server->unansweredRequests(), 0U);
+    const RawSocket socket(this->port);
+    socket.send(get("/hold"));
+    ASSERT_TRUE(eventually([this] { return this->heldCount == 1; }));
+    EXPECT_EQ(this->server->unansweredRequests(), 1U);
+    this->thread.call([this] {
+        this->held.back()->respond({.status = 200, .headers = {}, .body = std::string(LARGE_BODY_BYTES, 'b')});
+        this->server->drain();
+    });
+    EXPECT_EQ(this->server->unansweredRequests(), 1U);
+    EXPECT_GT(socket.readAll().size(), LARGE_BODY_BYTES);
+    EXPECT_TRUE(eventually([this] { return this->server->unansweredRequests() == 0; }));
+}
+
 TEST_F(HttpServerTest, enforcesSizeLimits)
 {
     this->start({.requestLimits = {.maximumHeaderBytes = 1024, .maximumBodyBytes = 100}});
