--- a/include/ragwortcart/Kernel/CrashEvidence.h
+++ b/include/ragwortcart/Kernel/CrashEvidence.h
@@ -9,6 +9,7 @@
 #ifndef RAGWORTCART_KERNEL_CRASHEVIDENCE_H
 #define RAGWORTCART_KERNEL_CRASHEVIDENCE_H
 
+#include "ragwortcart/Kernel/QuarantineList.h"
 #include "ragwortcart/Support/Clock.h"
 
 #include <atomic>
@@ -25,8 +26,6 @@
 inline constexpr int CRASHES_BEFORE_QUARANTINE = 3;
 /// Time after which a crash no longer counts.
 inline constexpr Duration CRASH_EVIDENCE_LIFETIME = std::chrono::minutes(10);
-/// Time for which a content stays quarantined.
-inline constexpr Duration FORWARD_QUARANTINE_TIME = std::chrono::minutes(30);
 
 /// A forwarded request that was lost with its server, on this or on another instance.
 struct ContentCrash
@@ -120,13 +119,14 @@
     template <typename Predicate>
     bool removeCrashes(std::uint64_t fingerprint, Entry &entry, Predicate refutes);
     void evictIfFull();
+    void removeOldLosses(Instant now);
     void updateCount();
     /// Returns the largest number of crashes in which each lost request was sent after the crash before it.
     static int longestChain(const Entry &entry);
 
     std::mutex mutex;
     std::map<std::uint64_t, Entry> entries;
-    /// When each server last lost a request, for the servers that may still turn out to be alive.
+    /// When each server last lost a request, for the servers that may still turn out to be alive. Older losses are removed from time to time.
     std::map<std::string, Instant> lastLosses;
     std::vector<ContentServed> unsentServed;
     /// Invariant: the size of `entries`.
--- a/lib/Kernel/CrashEvidence.cpp
+++ b/lib/Kernel/CrashEvidence.cpp
@@ -44,6 +44,11 @@
         this->entries.begin(), this->entries.end(), [](const auto &left, const auto &right) { return left.second.expiry < right.second.expiry; }));
 }
 
+void CrashEvidence::removeOldLosses(Instant now)
+{
+    std::erase_if(this->lastLosses, [now](const auto &each) { return now - each.second >= SAME_CRASH_TIME; });
+}
+
 int CrashEvidence::longestChain(const Entry &entry)
 {
     int length = 0;
@@ -75,6 +80,9 @@
     if (isKnown || entry->crashes.size() >= MAXIMUM_CRASHES_PER_CONTENT) {
         return {.crashes = chainBefore};
     }
+    if (this->lastLosses.size() >= MAXIMUM_CONTENTS) {
+        this->removeOldLosses(crash.lostAt);
+    }
     this->lastLosses[crash.serverId] = std::max(this->lastLosses[crash.serverId], crash.lostAt);
     const auto position = std::upper_bound(
         entry->crashes.begin(), entry->crashes.end(), crash.lostAt, [](Instant lostAt, const KnownCrash &known) { return lostAt < known.crash.lostAt; });
@@ -87,7 +95,7 @@
     }
     entry->expiry = std::max(entry->expiry, crash.lostAt + CRASH_EVIDENCE_LIFETIME);
     if (chain >= CRASHES_BEFORE_QUARANTINE) {
-        entry->quarantinedUntil = std::max(entry->quarantinedUntil, crash.lostAt + FORWARD_QUARANTINE_TIME);
+        entry->quarantinedUntil = std::max(entry->quarantinedUntil, crash.lostAt + QUARANTINE_TIME);
         entry->expiry = entry->quarantinedUntil;
     }
     return {.crashes = chain, .startsQuarantine = chain >= CRASHES_BEFORE_QUARANTINE && chainBefore < CRASHES_BEFORE_QUARANTINE};
@@ -180,7 +188,7 @@
     news.served.assign(this->unsentServed.begin(), servedEnd);
     this->unsentServed.erase(this->unsentServed.begin(), servedEnd);
     std::erase_if(this->entries, [now](const auto &each) { return each.second.expiry <= now; });
-    std::erase_if(this->lastLosses, [now](const auto &each) { return now - each.second >= SAME_CRASH_TIME; });
+    this->removeOldLosses(now);
     this->updateCount();
     for (auto &[fingerprint, entry] : this->entries) {
         for (KnownCrash &known : entry.crashes) {
--- a/lib/Wire/HttpServer.cpp
+++ b/lib/Wire/HttpServer.cpp
@@ -197,8 +197,13 @@
 
     void setAnswering(bool isAnswering)
     {
-        if (std::exchange(this->answering, isAnswering) != isAnswering) {
-            this->core->unansweredRequests.fetch_add(isAnswering ? 1 : std::size_t(-1), std::memory_order_acq_rel);
+        if (std::exchange(this->answering, isAnswering) == isAnswering) {
+            return;
+        }
+        if (isAnswering) {
+            this->core->unansweredRequests.fetch_add(1, std::memory_order_acq_rel);
+        } else {
+            this->core->unansweredRequests.fetch_sub(1, std::memory_order_acq_rel);
         }
     }
 
--- a/lib/Wire/PeerCodec.cpp
+++ b/lib/Wire/PeerCodec.cpp
@@ -342,7 +342,7 @@
 /// Returns an age from zero to the time after which crash news are of no use.
 static Duration ageOf(const QCborValue &value)
 {
-    return std::clamp(Duration(value.toInteger()), Duration::zero(), FORWARD_QUARANTINE_TIME);
+    return std::clamp(Duration(value.toInteger()), Duration::zero(), QUARANTINE_TIME);
 }
 
 static PeerCrashNews decodeCrashNews(const QCborArray &array)
--- a/unittests/Kernel/CrashEvidenceTest.cpp
+++ b/unittests/Kernel/CrashEvidenceTest.cpp
@@ -27,9 +27,9 @@
     EXPECT_FALSE(evidence.recordCrash(crashBetween("b", 1, 2)).startsQuarantine);
     EXPECT_TRUE(evidence.isSuspected(CONTENT, BEGIN + seconds(2)));
     EXPECT_TRUE(evidence.recordCrash(crashBetween("c", 5, 6)).startsQuarantine);
-    EXPECT_EQ(evidence.quarantineLeft(CONTENT, BEGIN + seconds(6)), FORWARD_QUARANTINE_TIME);
+    EXPECT_EQ(evidence.quarantineLeft(CONTENT, BEGIN + seconds(6)), QUARANTINE_TIME);
     EXPECT_EQ(evidence.quarantineLeft(CONTENT + 1, BEGIN + seconds(6)), Duration::zero());
-    EXPECT_EQ(evidence.crashes(CONTENT, BEGIN + seconds(6) + FORWARD_QUARANTINE_TIME), 0);
+    EXPECT_EQ(evidence.crashes(CONTENT, BEGIN + seconds(6) + QUARANTINE_TIME), 0);
 }
 
 /// Guards against the refusal of popular contents after a power loss, when many servers crash at once.
--- a/unittests/Wire/PeerCodecTest.cpp
+++ b/unittests/Wire/PeerCodecTest.cpp
@@ -118,8 +118,8 @@
     const Result<PeerMessage> decoded = decodePeerMessage(encodePeerMessage(sent), "peer");
     ASSERT_TRUE(decoded);
     const auto &read = std::get<PeerCrashNews>(*decoded);
-    EXPECT_EQ(read.crashes.at(0).lostAge, FORWARD_QUARANTINE_TIME);
-    EXPECT_EQ(read.crashes.at(0).sentAge, FORWARD_QUARANTINE_TIME) << "a request is not sent after it is lost";
+    EXPECT_EQ(read.crashes.at(0).lostAge, QUARANTINE_TIME);
+    EXPECT_EQ(read.crashes.at(0).sentAge, QUARANTINE_TIME) << "a request is not sent after it is lost";
     EXPECT_EQ(read.served.at(0).age, Duration::zero());
 }
 
