--- a/unittests/Kernel/CrashStepsTest.cpp
+++ b/unittests/Kernel/CrashStepsTest.cpp
@@ -46,7 +46,11 @@
     {
         this->advanceBy(std::chrono::microseconds(100));
         this->servers[request.serverId]->setExclusion(ServerRecord::gone, true);
-        this->fail(request, SubFailure::lost);
+        SubRequestFailed lost;
+        lost.query = request.query;
+        lost.attempt = request.attempt;
+        lost.failure = SubFailure::lost;
+        this->handle(lost);
     }
 
     /// Submits a query and lets its servers answer.
