Crash news keep the order of crashes whatever the messages' delays

Seen: RouteProcessTest.allInstancesRefuseARequestThatCrashesServers failed in 2 of 2 runs under ThreadSanitizer on: the peer never reached the verdict. Cause: a peer turns ages into times of its own; each message shifts them by its delay. A retry is sent at the moment of the loss before it, so that a second message that is faster than the first made it look older than that loss, and the chain broke for good. Change: all crashes of a content go in one message as soon as one of them is new, and a crash that is known takes the earlier times. Ruled out: a tolerance, as requests sent just before many servers crash at once would then count one after the other.

--- a/include/ragwortcart/Kernel/CrashEvidence.h
+++ b/include/ragwortcart/Kernel/CrashEvidence.h
@@ -93,7 +93,8 @@
         return this->crashes(fingerprint, now) >= CRASHES_BEFORE_QUARANTINE - 1;
     }
 
-    /// Returns what has been recorded since the last call, at most \p maximum crashes and responses. The rest follows with the next call.
+    /// Returns the responses, and the crashes of the contents, that have been recorded since the last call. After \p maximum of either, the rest
+    /// follows with the next call.
     CrashNews takeNews(std::size_t maximum, Instant now);
 
     /// Returns all crashes that have not expired, for an instance that may know none.
@@ -119,6 +120,7 @@
     template <typename Predicate>
     bool removeCrashes(std::uint64_t fingerprint, Entry &entry, Predicate refutes);
     void evictIfFull();
+    void recordLoss(const ContentCrash &crash);
     void removeOldLosses(Instant now);
     void updateCount();
     /// Returns the largest number of crashes in which each lost request was sent after the crash before it.
--- a/lib/Kernel/CrashEvidence.cpp
+++ b/lib/Kernel/CrashEvidence.cpp
@@ -76,31 +76,41 @@
         return known.crash.serverId == crash.serverId && apart < SAME_CRASH_TIME && apart > -SAME_CRASH_TIME;
     };
     const int chainBefore = longestChain(*entry);
-    const bool isKnown = std::any_of(entry->crashes.begin(), entry->crashes.end(), isSame);
-    if (isKnown || entry->crashes.size() >= MAXIMUM_CRASHES_PER_CONTENT) {
-        return {.crashes = chainBefore};
-    }
-    if (this->lastLosses.size() >= MAXIMUM_CONTENTS) {
-        this->removeOldLosses(crash.lostAt);
-    }
-    this->lastLosses[crash.serverId] = std::max(this->lastLosses[crash.serverId], crash.lostAt);
-    const auto position = std::upper_bound(
-        entry->crashes.begin(), entry->crashes.end(), crash.lostAt, [](Instant lostAt, const KnownCrash &known) { return lostAt < known.crash.lostAt; });
-    const auto added = entry->crashes.insert(position, KnownCrash{.crash = crash});
+    const auto known = std::find_if(entry->crashes.begin(), entry->crashes.end(), isSame);
+    const bool isKnown = known != entry->crashes.end();
+    if (isKnown) {
+        // Delays of messages make the times of peers late, never early.
+        known->crash = crash.lostAt < known->crash.lostAt ? crash : known->crash;
+    } else if (entry->crashes.size() < MAXIMUM_CRASHES_PER_CONTENT) {
+        entry->crashes.push_back(KnownCrash{.crash = crash});
+        this->recordLoss(crash);
+    }
+    std::sort(
+        entry->crashes.begin(), entry->crashes.end(), [](const KnownCrash &left, const KnownCrash &right) { return left.crash.lostAt < right.crash.lostAt; });
     const int chain = longestChain(*entry);
-    if (chain == chainBefore) {
+    if (chain == chainBefore && !isKnown) {
         // Many servers may crash together; one of these crashes is enough.
-        entry->crashes.erase(added);
-        return {.crashes = chain};
+        std::erase_if(entry->crashes, isSame);
     }
-    entry->expiry = std::max(entry->expiry, crash.lostAt + CRASH_EVIDENCE_LIFETIME);
-    if (chain >= CRASHES_BEFORE_QUARANTINE) {
+    if (chain > chainBefore) {
+        entry->expiry = std::max(entry->expiry, crash.lostAt + CRASH_EVIDENCE_LIFETIME);
+    }
+    if (chain > chainBefore && chain >= CRASHES_BEFORE_QUARANTINE) {
         entry->quarantinedUntil = std::max(entry->quarantinedUntil, crash.lostAt + QUARANTINE_TIME);
-        entry->expiry = entry->quarantinedUntil;
+        entry->expiry = std::max(entry->expiry, entry->quarantinedUntil);
     }
     return {.crashes = chain, .startsQuarantine = chain >= CRASHES_BEFORE_QUARANTINE && chainBefore < CRASHES_BEFORE_QUARANTINE};
 }
 
+void CrashEvidence::recordLoss(const ContentCrash &crash)
+{
+    if (this->lastLosses.size() >= MAXIMUM_CONTENTS) {
+        this->removeOldLosses(crash.lostAt);
+    }
+    Instant &lastLoss = this->lastLosses[crash.serverId];
+    lastLoss = std::max(lastLoss, crash.lostAt);
+}
+
 void CrashEvidence::recordServed(const ContentServed &served)
 {
     if (this->count.load(std::memory_order_acquire) == 0) {
@@ -191,11 +201,14 @@
     this->removeOldLosses(now);
     this->updateCount();
     for (auto &[fingerprint, entry] : this->entries) {
+        const bool isNews = std::any_of(entry.crashes.begin(), entry.crashes.end(), [](const KnownCrash &known) { return known.unsent; });
+        if (!isNews || news.crashes.size() >= maximum) {
+            continue;
+        }
+        // All crashes of the content, so that their order does not depend on the delays of different messages.
         for (KnownCrash &known : entry.crashes) {
-            if (known.unsent && news.crashes.size() < maximum) {
-                known.unsent = false;
-                news.crashes.push_back(known.crash);
-            }
+            known.unsent = false;
+            news.crashes.push_back(known.crash);
         }
     }
     return news;
