--- /dev/null
+++ b/unittests/Wire/RawResponseServer.h
@@ -0,0 +1,72 @@
+/// \file
+/// A server for tests that answers with given bytes, whether they are a valid response or not.
+#ifndef RAGWORTCART_UNITTESTS_WIRE_RAWRESPONSESERVER_H
+#define RAGWORTCART_UNITTESTS_WIRE_RAWRESPONSESERVER_H
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <cstdint>
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace ragwort {
+
+/// Listens on loopback until it is destroyed. On each connection, it sends the same response to the first bytes that it reads and closes the
+/// connection. Serves one connection at a time.
+class RawResponseServer
+{
+public:
+    explicit RawResponseServer(std::string bytes) : response(std::move(bytes)), listener(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in endpoint{};
+        endpoint.sin_family = AF_INET;
+        endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof endpoint;
+        ::bind(this->listener, reinterpret_cast<const sockaddr *>(&endpoint), size);
+        ::listen(this->listener, 128);
+        ::getsockname(this->listener, reinterpret_cast<sockaddr *>(&endpoint), &size);
+        this->port = ntohs(endpoint.sin_port);
+        this->thread = std::thread([this] { this->serve(); });
+    }
+    ~RawResponseServer()
+    {
+        ::shutdown(this->listener, SHUT_RDWR);
+        this->thread.join();
+        ::close(this->listener);
+    }
+    RawResponseServer(const RawResponseServer &) = delete;
+    RawResponseServer &operator=(const RawResponseServer &) = delete;
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(this->port);
+    }
+
+    std::uint16_t port = 0;
+    /// Number of responses sent so far.
+    std::atomic<int> responses{0};
+
+private:
+    void serve()
+    {
+        for (int connection = ::accept(this->listener, nullptr, nullptr); connection >= 0; connection = ::accept(this->listener, nullptr, nullptr)) {
+            char request[4096];
+            if (::recv(connection, request, sizeof request, 0) > 0) {
+                ::send(connection, this->response.data(), this->response.size(), MSG_NOSIGNAL);
+                ++this->responses;
+            }
+            ::close(connection);
+        }
+    }
+
+    const std::string response;
+    const int listener;
+    std::thread thread;
+};
+
+} // namespace ragwort
+
+#endif
