BackendClient: a response needs the status of a final response

Cause: Beast's parser takes any three digits as a status, and nothing after it asked whether the status is one. PlatformBackendProtocol::decode only tells failures (500 and up) from the rest, so 000 and 1xx were answers, and 600 to 999 were passed on as failures of the server.

Change: findResponseFault (ResponseCheck, new) holds what the client checks beyond the parser: a status from 200 to 599, and the known transfer codings, which were checked in place before. An invalid response fails its attempt with protocol-violation, whatever else its head says, and its connection is closed; event=response-invalid names the server, the status and the fault. As the check lies before both protocols, it holds for servers of routes and of questionnaires. A repeatable request goes to another server as after any failure, a request that may run once gets 502.

Evidence: on the code before, InvalidMessageTest.rejectsResponsesWithoutTheStatusOfAFinalResponse failed for 000, 001, 099, 100, 101, 102, 199, 600, 700 and 999, and RouteProcessTest.callersGetNoInvalidResponses showed 'HTTP/1.1 000' with the server's signature at the caller (12 failed checks for 000, 100 and 999). Both pass now, the second 20 times in a row. Merged queries never took such a response; the test keeps that.

--- a/lib/Wire/BackendClient.cpp
+++ b/lib/Wire/BackendClient.cpp
@@ -3,6 +3,7 @@
 #include "ragwortcart/Wire/BackendClient.h"
 
 #include "AsioLoop.h"
+#include "ResponseCheck.h"
 #include "StatusFetch.h"
 #include "ragwortcart/Support/Hash.h"
 #include "ragwortcart/Support/Log.h"
@@ -376,9 +377,13 @@
 
     SubOutcome decodeResponse(http::response<http::string_body> &message)
     {
-        const std::size_t codings = message.count(http::field::transfer_encoding);
-        if (codings > 1 || (codings == 1 && !boost::beast::iequals(message[http::field::transfer_encoding], "chunked"))) {
-            // The parser has not decoded the body, so that it is not what the server means.
+        if (const char *fault = findResponseFault(message)) {
+            logRequestEvent(LogLevel::info,
+                            "response-invalid",
+                            {{.key = "query", .value = std::to_string(this->current.request.query)},
+                             {.key = "server", .value = this->current.request.serverId},
+                             {.key = "status", .value = std::to_string(message.result_int())},
+                             {.key = "fault", .value = fault}});
             return SubFailureReport{.failure = SubFailure::protocol, .report = std::nullopt, .answer = std::nullopt};
         }
         BackendHttpResponse response{.status = static_cast<int>(message.result_int()), .headers = {}, .body = std::move(message.body())};
--- a/unittests/Platform/RouteProcessTest.cpp
+++ b/unittests/Platform/RouteProcessTest.cpp
@@ -4,6 +4,7 @@
 
 #include "PlatformFakes.h"
 #include "Wire/LoopThread.h"
+#include "Wire/RawResponseServer.h"
 #include "platform/HttpProtocols.h"
 #include "platform/StoreClient.h"
 #include "platform/StoreFormat.h"
@@ -241,6 +242,33 @@
         });
     }
 
+    /// Makes \p server the only server of service s0, and waits until that is in force.
+    void replaceServersOfS0(const RawResponseServer &server, int routesVersion)
+    {
+        this->thread.call([&] {
+            for (const char *serverId : {"i-0a", "i-0b", "i-0c"}) {
+                this->store->remove(std::string("servers/") + serverId);
+            }
+            this->store->put("servers/i-0c", entryText("s0", server.port, "ready"));
+            return 0;
+        });
+        // Changes are applied in the order of their revisions: when the new route answers, the servers have been replaced.
+        const std::string newRoute = "/v" + std::to_string(routesVersion) + '/';
+        this->putRoutes(routesVersion, {"s0", "s1", "s2", "s3"}, newRoute);
+        ASSERT_TRUE(pumpUntil([&] { return statusOf(this->get(CALLERS_PORT, newRoute + '1')) == 200; }));
+    }
+
+    /// Sends a request to a service whose only server is \p server, which sends invalid responses. Expects the instance's own answer, which says
+    /// truly whether the request may have run.
+    void expectOwnAnswer(const std::string &target, const RawResponseServer &server)
+    {
+        const int before = server.requests;
+        const std::string answer = this->get(CALLERS_PORT, target);
+        EXPECT_EQ(statusOf(answer), server.requests > before ? 502 : 503) << answer;
+        EXPECT_EQ(answer.find("of-s0"), std::string::npos) << answer;
+        EXPECT_LE(server.requests - before, 1) << "there is no other server";
+    }
+
     std::uint64_t runs(const std::string &prefix)
     {
         return this->thread.call([&] {
@@ -545,4 +573,36 @@
     EXPECT_EQ(this->thread.call([this] { return this->store->count("ragwort/instances/"); }), 0U);
 }
 
+/// Guards against invalid answers of a server in trouble, such as one with status 000, that callers got as they were.
+TEST_F(RouteProcessTest, callersGetNoInvalidResponses)
+{
+    static const std::string SIGNED = "X-Server-Stamp: signature-of-s0\r\nContent-Length: 16\r\n";
+    static const std::string BODY = "\r\nrecord-of-s0-abc";
+    const std::vector<std::string> invalid = {
+        "HTTP/1.1 000 Status\r\n" + SIGNED + BODY,
+        "HTTP/1.1 100 Status\r\n" + SIGNED + BODY,
+        "HTTP/1.1 999 Status\r\n" + SIGNED + BODY,
+    };
+    this->startAll();
+    int routesVersion = 1;
+    for (const std::string &response : invalid) {
+        SCOPED_TRACE(response);
+        const RawResponseServer server(response);
+        this->replaceServersOfS0(server, ++routesVersion);
+        // Each request has a content of its own, so that none is refused for what the one before it did.
+        for (const std::string prefix : {"/one/", "/once/"}) {
+            const int before = server.requests;
+            int sent = 0;
+            EXPECT_TRUE(pumpUntil([&] {
+                this->expectOwnAnswer(prefix + std::to_string(++sent), server);
+                return server.requests > before;
+            })) << prefix;
+        }
+        const std::string merged = this->get(CALLERS_PORT, "/g/1");
+        EXPECT_EQ(statusOf(merged), 200);
+        EXPECT_NE(merged.find("X-Missing-Parts: 1"), std::string::npos) << merged;
+        EXPECT_EQ(merged.find("of-s0"), std::string::npos) << merged;
+    }
+}
+
 } // namespace ragwort::platform
--- a/unittests/Wire/InvalidMessageTest.cpp
+++ b/unittests/Wire/InvalidMessageTest.cpp
@@ -104,4 +104,18 @@
     }
 }
 
+/// Guards against answers with a status such as 000, which callers got as they were.
+TEST_F(InvalidMessageTest, rejectsResponsesWithoutTheStatusOfAFinalResponse)
+{
+    for (const std::string status : {"000", "001", "099", "100", "101", "102", "199", "600", "700", "999"}) {
+        EXPECT_EQ(this->failureOfResponse("HTTP/1.1 " + status + " Status\r\nContent-Length: 3\r\n\r\nabc"), SubFailure::protocol) << status;
+    }
+    for (const std::string status : {"0", "00", "0000", "20", "2000", "+20", "-01", "2 0", "2x0", "", "OK"}) {
+        EXPECT_NE(this->failureOfResponse("HTTP/1.1 " + status + " Status\r\nContent-Length: 3\r\n\r\nabc"), std::nullopt) << status;
+    }
+    for (const std::string status : {"200", "204", "299", "304", "404", "500", "599"}) {
+        EXPECT_EQ(this->failureOfResponse("HTTP/1.1 " + status + " Status\r\nContent-Length: 0\r\n\r\n"), std::nullopt) << status;
+    }
+}
+
 } // namespace ragwort
--- a/unittests/Wire/RawResponseServer.h
+++ b/unittests/Wire/RawResponseServer.h
@@ -46,8 +46,8 @@
     }
 
     std::uint16_t port = 0;
-    /// Number of responses sent so far.
-    std::atomic<int> responses{0};
+    /// Number of requests read so far. A request is counted before its response is sent.
+    std::atomic<int> requests{0};
 
 private:
     void serve()
@@ -55,8 +55,8 @@
         for (int connection = ::accept(this->listener, nullptr, nullptr); connection >= 0; connection = ::accept(this->listener, nullptr, nullptr)) {
             char request[4096];
             if (::recv(connection, request, sizeof request, 0) > 0) {
+                ++this->requests;
                 ::send(connection, this->response.data(), this->response.size(), MSG_NOSIGNAL);
-                ++this->responses;
             }
             ::close(connection);
         }
