BackendClient: a line of a response's head that begins with a blank makes the response invalid

With ' Content-Length: 1' the body was read to the end of the connection, so it may be another one than its server meant.

Cause: Beast's parser joins such a line to the field before it (obsolete line folding) and does not tell; the client had no look at the bytes. The other forms of the fault, a blank or a control octet inside or at the end of a field name, or before the first one, are refused by the parser: the test keeps all 34 octets in five places and in a trailer.

Change: BackendClient reads and parses in two steps in place of Beast's composed read, and looks at the lines of the head between them (hasFoldedLine). RFC 9112, 5.2 lets a proxy reject such a response; it fails its attempt with protocol-violation and its connection is closed. The reads have the same sizes as before. New tests keep what the composed read did: responses that end with their connection, that end early, and that arrive octet by octet.

Not covered: a line with a leading blank in the trailer of a chunked response is still joined to the trailer field before it.

--- a/lib/Wire/BackendClient.cpp
+++ b/lib/Wire/BackendClient.cpp
@@ -27,6 +27,8 @@
 static constexpr std::size_t MAXIMUM_RESPONSE_BYTES = 4 * 1024 * 1024;
 /// Limit for the bodies of all unfinished responses together, which bounds the memory if many servers send bodies without end.
 static constexpr std::size_t MAXIMUM_UNFINISHED_BYTES = 16 * 1024 * 1024;
+/// Limit for the bytes of one read.
+static constexpr std::size_t MAXIMUM_READ_BYTES = 65536;
 /// Initial size of a connection's receive buffer: a response of usual size fits, so that one read suffices.
 static constexpr std::size_t RECEIVE_BUFFER_BYTES = 2048;
 /// Minimum delay before the next sweep, which closes all expired idle connections together. They are closed at most this late.
@@ -316,28 +318,54 @@
 
     void readMore()
     {
-        http::async_read_some(this->socket, this->buffer, *this->parser, [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
+        const std::size_t size = boost::beast::read_size(this->buffer, MAXIMUM_READ_BYTES);
+        this->socket.async_read_some(this->buffer.prepare(size), [self = this->shared_from_this()](const ErrorCode &error, std::size_t bytes) {
             if (self->closed) {
                 return;
             }
-            if (error) {
-                self->failAfterSend();
-                return;
-            }
-            if (self->parser->is_done()) {
-                self->countUnfinishedBytes(0);
-                self->onResponse();
-                return;
-            }
-            self->countUnfinishedBytes(self->parser->get().body().size());
-            if (self->core.unfinishedBytes > MAXIMUM_UNFINISHED_BYTES) {
-                self->failAfterSend();
-                return;
-            }
-            self->readMore();
+            self->buffer.commit(bytes);
+            self->onRead(error);
         });
     }
 
+    /// Handles the result of a read, whose bytes are in the buffer. Bytes that are not parsed yet stay there.
+    void onRead(const ErrorCode &readError)
+    {
+        if (!this->parser->is_header_done() && hasFoldedLine({static_cast<const char *>(this->buffer.data().data()), this->buffer.size()})) {
+            // Parsed, the line could not be told from a part of the field before it (RFC 9112, section 5.2).
+            this->finish(this->rejectResponse("line of the head begins with a blank"), false);
+            return;
+        }
+        if (const ErrorCode error = this->parse(readError)) {
+            this->failAfterSend();
+            return;
+        }
+        if (this->parser->is_done()) {
+            this->countUnfinishedBytes(0);
+            this->onResponse();
+            return;
+        }
+        this->countUnfinishedBytes(this->parser->get().body().size());
+        if (this->core.unfinishedBytes > MAXIMUM_UNFINISHED_BYTES) {
+            this->failAfterSend();
+            return;
+        }
+        this->readMore();
+    }
+
+    /// Parses the bytes in the buffer, or the end of the connection. Returns an error if the response is malformed or cannot be completed.
+    ErrorCode parse(const ErrorCode &readError)
+    {
+        ErrorCode error = readError;
+        if (readError == asio::error::eof && this->parser->got_some()) {
+            error = {};
+            this->parser->put_eof(error);
+        } else if (!readError) {
+            this->buffer.consume(this->parser->put(this->buffer.data(), error));
+        }
+        return error == http::error::need_more ? ErrorCode() : error;
+    }
+
     /// Updates the total of the client for this connection's unfinished response of \p bytes.
     void countUnfinishedBytes(std::size_t bytes)
     {
@@ -348,8 +376,13 @@
     void onResponse()
     {
         auto &message = this->parser->get();
-        bool reusable = message.keep_alive() && this->buffer.size() == 0;
-        SubOutcome outcome = this->decodeResponse(message);
+        const bool reusable = message.keep_alive() && this->buffer.size() == 0;
+        this->finish(this->decodeResponse(message), reusable);
+    }
+
+    /// Ends the current request, to which the server has responded. Keeps the connection if it is \p reusable, unless the outcome forbids it.
+    void finish(SubOutcome outcome, bool reusable)
+    {
         const auto *failure = std::get_if<SubFailureReport>(&outcome);
         const ServerStatement *statement = statementOf(outcome);
         const bool leaving = statement != nullptr && statement->leaving;
@@ -378,13 +411,7 @@
     SubOutcome decodeResponse(http::response<http::string_body> &message)
     {
         if (const char *fault = findResponseFault(message)) {
-            logRequestEvent(LogLevel::info,
-                            "response-invalid",
-                            {{.key = "query", .value = std::to_string(this->current.request.query)},
-                             {.key = "server", .value = this->current.request.serverId},
-                             {.key = "status", .value = std::to_string(message.result_int())},
-                             {.key = "fault", .value = fault}});
-            return SubFailureReport{.failure = SubFailure::protocol, .report = std::nullopt, .answer = std::nullopt};
+            return this->rejectResponse(fault);
         }
         BackendHttpResponse response{.status = static_cast<int>(message.result_int()), .headers = {}, .body = std::move(message.body())};
         for (const auto &field : message) {
@@ -399,6 +426,19 @@
         return outcome;
     }
 
+    /// Returns the outcome of a request whose response is invalid.
+    SubFailureReport rejectResponse(const char *fault) const
+    {
+        const std::string status = this->parser->is_header_done() ? std::to_string(this->parser->get().result_int()) : std::string();
+        logRequestEvent(LogLevel::info,
+                        "response-invalid",
+                        {{.key = "query", .value = std::to_string(this->current.request.query)},
+                         {.key = "server", .value = this->current.request.serverId},
+                         {.key = "status", .value = status},
+                         {.key = "fault", .value = fault}});
+        return {.failure = SubFailure::protocol, .report = std::nullopt, .answer = std::nullopt};
+    }
+
     /// Ends a request whose deadline has passed while the connection was being established, and keeps the connection.
     void releaseExpired()
     {
--- a/lib/Wire/ResponseCheck.cpp
+++ b/lib/Wire/ResponseCheck.cpp
@@ -26,4 +26,19 @@
     return nullptr;
 }
 
+bool hasFoldedLine(std::string_view received)
+{
+    for (std::size_t end = received.find('\n'); end != std::string_view::npos; end = received.find('\n', end + 1)) {
+        const std::string_view next = received.substr(end + 1);
+        if (next.starts_with(' ') || next.starts_with('\t')) {
+            return true;
+        }
+        if (next.starts_with("\r\n")) {
+            // The empty line that ends the head.
+            return false;
+        }
+    }
+    return false;
+}
+
 } // namespace ragwort
--- a/unittests/Platform/RouteProcessTest.cpp
+++ b/unittests/Platform/RouteProcessTest.cpp
@@ -573,7 +573,8 @@
     EXPECT_EQ(this->thread.call([this] { return this->store->count("ragwort/instances/"); }), 0U);
 }
 
-/// Guards against invalid answers of a server in trouble, such as one with status 000, that callers got as they were.
+/// Guards against invalid answers of a server in trouble, such as one with status 000 or a blank before the name of a field, that callers got as
+/// they were.
 TEST_F(RouteProcessTest, callersGetNoInvalidResponses)
 {
     static const std::string SIGNED = "X-Server-Stamp: signature-of-s0\r\nContent-Length: 16\r\n";
@@ -582,6 +583,11 @@
         "HTTP/1.1 000 Status\r\n" + SIGNED + BODY,
         "HTTP/1.1 100 Status\r\n" + SIGNED + BODY,
         "HTTP/1.1 999 Status\r\n" + SIGNED + BODY,
+        "HTTP/1.1 200 OK\r\n" + SIGNED + "X A: 1\r\n" + BODY,
+        "HTTP/1.1 200 OK\r\n" + SIGNED + "X-A : 1\r\n" + BODY,
+        "HTTP/1.1 200 OK\r\n" + SIGNED + "X\x01: 1\r\n" + BODY,
+        "HTTP/1.1 200 OK\r\n" + SIGNED + "X-A: 1\r\n X-B: 1\r\n" + BODY,
+        "HTTP/1.1 200 OK\r\n" + SIGNED + "X-A: 1\r\n\tX-B: 1\r\n" + BODY,
     };
     this->startAll();
     int routesVersion = 1;
--- a/unittests/Wire/InvalidMessageTest.cpp
+++ b/unittests/Wire/InvalidMessageTest.cpp
@@ -71,9 +71,9 @@
     }
 
     /// Returns the failure of a request to a server that sends \p response, or nothing if the client takes that for an answer.
-    std::optional<SubFailure> failureOfResponse(const std::string &response)
+    std::optional<SubFailure> failureOfResponse(const std::string &response, RawResponseServer::Delivery delivery = RawResponseServer::Delivery::whole)
     {
-        const RawResponseServer server(response);
+        const RawResponseServer server(response, delivery);
         return this->failureOf("x", server.address());
     }
 
@@ -118,4 +118,105 @@
     }
 }
 
+/// Returns the octets that a field name must not hold: control characters, the space and DEL.
+static std::string blanksAndControls()
+{
+    std::string octets;
+    for (char octet = 0; octet <= ' '; ++octet) {
+        octets += octet;
+    }
+    return octets + '\x7f';
+}
+
+/// Guards against answers with a line that one reader takes for a field and another one does not: the line is passed on, or the body ends in
+/// another place than its server means.
+TEST_F(InvalidMessageTest, rejectsResponsesWithABlankOrAControlInAFieldName)
+{
+    static const std::string START = "HTTP/1.1 200 OK\r\n";
+    static const std::string LENGTH = "Content-Length: 3\r\n";
+    static const std::string BODY = "abc";
+    for (const char octet : blanksAndControls()) {
+        const std::string one(1, octet);
+        for (const std::string &name : {"X-A" + one + "B", "X-A" + one, one + "X-A", one}) {
+            const std::string line = name + ": 1\r\n";
+            const std::string where = "octet " + std::to_string(octet) + " in the name " + name;
+            EXPECT_NE(this->failureOfResponse(START + line + LENGTH + "\r\n" + BODY), std::nullopt) << where << ", first line";
+            EXPECT_NE(this->failureOfResponse(START + LENGTH + line + "X-B: 1\r\n\r\n" + BODY), std::nullopt) << where << ", between others";
+            EXPECT_NE(this->failureOfResponse(START + LENGTH + "X-B: 1\r\n" + line + "\r\n" + BODY), std::nullopt) << where << ", last line";
+        }
+        EXPECT_NE(this->failureOfResponse(START + "Content-Length" + one + ": 1\r\n\r\n" + BODY), std::nullopt) << int(octet);
+        EXPECT_NE(this->failureOfResponse(START + "X-B: 1\r\n" + one + "Content-Length: 1\r\n\r\n" + BODY), std::nullopt) << int(octet);
+        EXPECT_NE(this->failureOfResponse(START + "Transfer-Encoding" + one + ": chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"), std::nullopt) << int(octet);
+        EXPECT_NE(this->failureOfResponse(START + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-A" + one + ": 1\r\n\r\n"), std::nullopt)
+            << "trailer " << int(octet);
+    }
+    EXPECT_EQ(this->failureOfResponse(START + "X-A: 1\r\n" + LENGTH + "\r\n" + BODY), std::nullopt);
+}
+
+/// Guards against a line that begins with a blank and was passed on as a part of the field before it.
+TEST_F(InvalidMessageTest, rejectsResponsesWithABlankAtTheStartOfALineOfTheHead)
+{
+    for (const char *blank : {" ", "\t", "  ", " \t"}) {
+        for (const RawResponseServer::Delivery delivery : {RawResponseServer::Delivery::whole, RawResponseServer::Delivery::byOctet}) {
+            const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX-A: 1\r\n" + std::string(blank) + "X-B: 1\r\n\r\nabc";
+            EXPECT_EQ(this->failureOfResponse(response, delivery), SubFailure::protocol) << response;
+        }
+    }
+}
+
+/// A body may hold what the head may not, and values may hold blanks.
+TEST_F(InvalidMessageTest, acceptsBlanksInValuesAndInBodies)
+{
+    const std::string body = "a: 1\r\n b: 2\r\n\tc\n d\r\n\r\n e";
+    const std::string head = "HTTP/1.1 200 OK\r\nX-A:  1 2\t3 \r\nX-Empty: \r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    for (const RawResponseServer::Delivery delivery : {RawResponseServer::Delivery::whole, RawResponseServer::Delivery::byOctet}) {
+        const RawResponseServer server(head + body, delivery);
+        const SubOutcome outcome = this->exchange("x", server.address());
+        const auto *answer = std::get_if<ForwardedAnswer>(&outcome);
+        ASSERT_NE(answer, nullptr);
+        EXPECT_EQ(answer->body, body);
+        ASSERT_EQ(answer->headers.size(), 3U);
+        EXPECT_EQ(answer->headers[0].value, "1 2\t3");
+    }
+}
+
+/// A response without a length ends with its connection, in whatever pieces it arrives; one with a length or in chunks must be complete.
+TEST_F(InvalidMessageTest, takesTheEndOfAConnectionForTheEndOfAResponseOnlyWithoutALength)
+{
+    for (const RawResponseServer::Delivery delivery : {RawResponseServer::Delivery::whole, RawResponseServer::Delivery::byOctet}) {
+        const RawResponseServer server("HTTP/1.1 200 OK\r\nX-A: 1\r\n\r\nabc", delivery);
+        const SubOutcome outcome = this->exchange("x", server.address());
+        ASSERT_TRUE(std::holds_alternative<ForwardedAnswer>(outcome));
+        EXPECT_EQ(std::get<ForwardedAnswer>(outcome).body, "abc");
+        EXPECT_EQ(this->failureOfResponse("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc", delivery), SubFailure::lost);
+        EXPECT_EQ(this->failureOfResponse("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", delivery), SubFailure::lost);
+        EXPECT_EQ(this->failureOfResponse("HTTP/1.1 200 OK\r\nX-A: 1\r\n", delivery), SubFailure::lost);
+        EXPECT_EQ(this->failureOfResponse("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", delivery), std::nullopt);
+    }
+}
+
+/// The status of a server is taken from a valid response only.
+TEST_F(InvalidMessageTest, takesNoStatusOfAServerFromAnInvalidResponse)
+{
+    const std::string body = encodeServerStatus({.serverId = "s", .report = {.incarnation = 1}, .snapshots = {}});
+    const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    const auto accepts = [this](const std::string &response) {
+        const RawResponseServer server(response);
+        std::promise<bool> accepted;
+        this->thread.loop.post([&] {
+            this->client->fetchStatus(
+                server.address(), std::chrono::seconds(5), [&accepted](const Result<ServerStatus> &status) { accepted.set_value(static_cast<bool>(status)); });
+        });
+        return accepted.get_future().get();
+    };
+    EXPECT_TRUE(accepts("HTTP/1.1 200 OK\r\n" + length + "\r\n" + body));
+    for (const std::string status : {"000", "100", "201", "503", "600", "999"}) {
+        EXPECT_FALSE(accepts("HTTP/1.1 " + status + " Status\r\n" + length + "\r\n" + body)) << status;
+    }
+    for (const std::string name : {"X A", "X-A ", " X-A", "X-A\t", "X\x01"}) {
+        EXPECT_FALSE(accepts("HTTP/1.1 200 OK\r\n" + name + ": 1\r\n" + length + "\r\n" + body)) << name;
+    }
+    EXPECT_FALSE(accepts("HTTP/1.1 200 OK\r\nX-A: 1\r\n " + length + "\r\n" + body + body)) << "the length is not read";
+}
+
 } // namespace ragwort
--- a/unittests/Wire/RawResponseServer.h
+++ b/unittests/Wire/RawResponseServer.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <cstdint>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -19,7 +20,14 @@
 class RawResponseServer
 {
 public:
-    explicit RawResponseServer(std::string bytes) : response(std::move(bytes)), listener(::socket(AF_INET, SOCK_STREAM, 0))
+    enum class Delivery {
+        whole,
+        /// With one call of the operating system for each octet, so that the client reads the response in pieces.
+        byOctet
+    };
+
+    explicit RawResponseServer(std::string bytes, Delivery howToSend = Delivery::whole)
+        : response(std::move(bytes)), delivery(howToSend), listener(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in endpoint{};
         endpoint.sin_family = AF_INET;
@@ -56,13 +64,24 @@
             char request[4096];
             if (::recv(connection, request, sizeof request, 0) > 0) {
                 ++this->requests;
-                ::send(connection, this->response.data(), this->response.size(), MSG_NOSIGNAL);
+                this->sendResponse(connection);
             }
             ::close(connection);
         }
     }
 
+    void sendResponse(int connection) const
+    {
+        const int noDelay = 1;
+        ::setsockopt(connection, IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof noDelay);
+        const std::size_t step = this->delivery == Delivery::whole ? this->response.size() : 1;
+        for (std::size_t sent = 0; sent < this->response.size(); sent += step) {
+            ::send(connection, this->response.data() + sent, step, MSG_NOSIGNAL);
+        }
+    }
+
     const std::string response;
+    const Delivery delivery;
     const int listener;
     std::thread thread;
 };
