PlatformClient, BlockingPlatformClient: an answer needs status 200

What its reader saw, in tests: a store that answers a write with status 000 and the body 'true' had 'written' it, and 'conflict' with 'false'; a list of instances and the state of an instance counted with any status below 400. A claim that is taken as written but is not lets an action run that another instance may run again.

Cause: Qt reports no error for a status below 400, not even for 000, and these three places asked Qt alone.

A write with another status has an unknown outcome, as after a lost answer, and is logged (event=store-write-unknown).

--- a/lib/Operator/BlockingPlatformClient.cpp
+++ b/lib/Operator/BlockingPlatformClient.cpp
@@ -2,6 +2,8 @@
 /// Implements blocking calls: each starts an asynchronous call and runs a local event loop until its callback.
 #include "ragwortcart/Operator/BlockingPlatformClient.h"
 
+#include "ragwortcart/Wire/NetworkReply.h"
+
 #include <QEventLoop>
 #include <QNetworkProxy>
 #include <QNetworkReply>
@@ -81,8 +83,8 @@
     QObject::connect(reply, &QNetworkReply::finished, &loop, &QEventLoop::quit);
     loop.exec();
     reply->deleteLater();
-    if (reply->error() != QNetworkReply::NoError) {
-        return Error{.code = Errc::connectionLost, .step = "fetch", .peer = address, .detail = reply->errorString().toStdString()};
+    if (!succeeded(*reply)) {
+        return Error{.code = Errc::connectionLost, .step = "fetch", .peer = address, .detail = describeFailure(*reply)};
     }
     return reply->readAll();
 }
--- /dev/null
+++ b/lib/Wire/NetworkReply.cpp
@@ -0,0 +1,24 @@
+/// \file
+/// Implements the helpers for responses of QNetworkAccessManager.
+#include "ragwortcart/Wire/NetworkReply.h"
+
+namespace ragwort {
+
+static constexpr int HTTP_OK = 200;
+
+int statusOf(const QNetworkReply &reply)
+{
+    return reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+}
+
+bool succeeded(const QNetworkReply &reply)
+{
+    return reply.error() == QNetworkReply::NoError && statusOf(reply) == HTTP_OK;
+}
+
+std::string describeFailure(const QNetworkReply &reply)
+{
+    return "status " + std::to_string(statusOf(reply)) + ", " + reply.errorString().toStdString();
+}
+
+} // namespace ragwort
--- a/lib/Wire/PlatformClient.cpp
+++ b/lib/Wire/PlatformClient.cpp
@@ -2,6 +2,9 @@
 /// Implements the platform client on QNetworkAccessManager.
 #include "ragwortcart/Wire/PlatformClient.h"
 
+#include "ragwortcart/Support/Log.h"
+#include "ragwortcart/Wire/NetworkReply.h"
+
 #include <QBuffer>
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -15,7 +18,6 @@
 
 /// Time allowed for the response after the wait time of a watch.
 static constexpr Duration WATCH_TIMEOUT_MARGIN = std::chrono::milliseconds(700);
-static constexpr int HTTP_OK = 200;
 static constexpr int HTTP_NOT_FOUND = 404;
 
 std::string PlatformInstance::metaValue(const std::string &key) const
@@ -52,7 +54,7 @@
 
 static Error replyError(const QNetworkReply &reply, const char *step, const std::string &peer)
 {
-    return {.code = Errc::storeUnavailable, .step = step, .peer = peer, .detail = reply.errorString().toStdString()};
+    return {.code = Errc::storeUnavailable, .step = step, .peer = peer, .detail = describeFailure(reply)};
 }
 
 static std::uint64_t indexOf(const QNetworkReply &reply)
@@ -63,11 +65,10 @@
 /// A response with status 404 means that no key matches.
 static Result<KeyValues> parseKeys(QNetworkReply &reply, const std::string &peer)
 {
-    const int status = reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-    if (status == HTTP_NOT_FOUND) {
+    if (statusOf(reply) == HTTP_NOT_FOUND) {
         return KeyValues{.entries = {}, .index = indexOf(reply)};
     }
-    if (reply.error() != QNetworkReply::NoError || status != HTTP_OK) {
+    if (!succeeded(reply)) {
         return replyError(reply, "store-read", peer);
     }
     KeyValues values{.entries = {}, .index = indexOf(reply)};
@@ -86,10 +87,13 @@
 
 static Result<PlatformInstances> parseInstances(QNetworkReply &reply, const std::string &peer)
 {
-    const QJsonDocument document = QJsonDocument::fromJson(reply.readAll());
-    if (reply.error() != QNetworkReply::NoError || !document.isArray()) {
+    if (!succeeded(reply)) {
         return replyError(reply, "instance-list", peer);
     }
+    const QJsonDocument document = QJsonDocument::fromJson(reply.readAll());
+    if (!document.isArray()) {
+        return Error{.code = Errc::protocolViolation, .step = "instance-list", .peer = peer, .detail = "not a JSON array"};
+    }
     PlatformInstances listed{.instances = {}, .index = indexOf(reply)};
     for (const QJsonValue &value : document.array()) {
         const QJsonObject service = value.toObject().value("Service").toObject();
@@ -123,6 +127,17 @@
     });
 }
 
+static StoreWriteOutcome parseWriteOutcome(QNetworkReply &reply)
+{
+    if (!succeeded(reply)) {
+        logEvent(LogLevel::info,
+                 "store-write-unknown",
+                 {{.key = "store", .value = reply.url().authority().toStdString()}, {.key = "detail", .value = describeFailure(reply)}});
+        return StoreWriteOutcome::unknown;
+    }
+    return reply.readAll().trimmed() == "true" ? StoreWriteOutcome::written : StoreWriteOutcome::conflict;
+}
+
 namespace {
 
 /// A request body that cannot be rewound. Qt silently resends a request whose persistent connection was closed in the
@@ -182,11 +197,7 @@
     body->setParent(reply);
     connect(reply, &QNetworkReply::finished, this, [reply, callback] {
         reply->deleteLater();
-        if (reply->error() != QNetworkReply::NoError) {
-            callback(StoreWriteOutcome::unknown);
-            return;
-        }
-        callback(reply->readAll().trimmed() == "true" ? StoreWriteOutcome::written : StoreWriteOutcome::conflict);
+        callback(parseWriteOutcome(*reply));
     });
 }
 
--- a/unittests/Wire/PlatformClientTest.cpp
+++ b/unittests/Wire/PlatformClientTest.cpp
@@ -1,5 +1,6 @@
 #include "ragwortcart/Wire/PlatformClient.h"
 #include "LoopThread.h"
+#include "RawResponseServer.h"
 #include "ragwortcart/Emulator/FakePlatform.h"
 
 #include <QCoreApplication>
@@ -48,6 +49,32 @@
         return result;
     }
 
+    /// Lists the instances of a service and waits for the result.
+    Result<PlatformInstances> listInstances()
+    {
+        QEventLoop loop;
+        std::optional<Result<PlatformInstances>> result;
+        this->client->list("s", {.index = std::nullopt}, [&](Result<PlatformInstances> listed) {
+            result = std::move(listed);
+            loop.quit();
+        });
+        loop.exec();
+        return std::move(*result);
+    }
+
+    /// Reads a key and waits for the result.
+    Result<KeyValues> readKey()
+    {
+        QEventLoop loop;
+        std::optional<Result<KeyValues>> result;
+        this->client->read("k", false, {.index = std::nullopt}, [&](Result<KeyValues> values) {
+            result = std::move(values);
+            loop.quit();
+        });
+        loop.exec();
+        return std::move(*result);
+    }
+
     LoopThread thread;
     std::unique_ptr<HttpServer> server;
     std::unique_ptr<PlatformClient> client;
@@ -140,4 +167,21 @@
     this->serve([](const HttpRequest &, const std::shared_ptr<HttpExchange> &) {});
 }
 
+/// Guards against answers with a status such as 000 that are taken for answers: a write whose outcome is unknown was reported as done or as
+/// refused.
+TEST_F(PlatformClientTest, takesNoResponseForAnAnswerWithoutItsStatus)
+{
+    for (const std::string status : {"000", "001", "099", "199", "201", "600", "999"}) {
+        for (const std::string body : {"true", "false"}) {
+            const RawResponseServer raw("HTTP/1.1 " + status + " Status\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+            this->client = std::make_unique<PlatformClient>(PlatformClient::Options{.address = raw.address()});
+            EXPECT_EQ(this->write("v"), StoreWriteOutcome::unknown) << status << ' ' << body;
+        }
+        const RawResponseServer raw("HTTP/1.1 " + status + " Status\r\nContent-Length: 2\r\n\r\n[]");
+        this->client = std::make_unique<PlatformClient>(PlatformClient::Options{.address = raw.address()});
+        EXPECT_FALSE(this->listInstances()) << status;
+        EXPECT_FALSE(this->readKey()) << status;
+    }
+}
+
 } // namespace ragwort
