PlatformClient: a write is refused only if the store says so

Qt drops all fields of a head in which it finds one, so that the body runs to the end of the connection and is not the one that the store means. What the reader saw, in a test: a write whose answer was damaged in this way was reported as refused by another writer ('conflict'), though it may be in force.

Cause: any body but 'true' counted as a conflict.

Change: 'true' is a write that took effect, 'false' one that did not; with any other body the outcome is unknown, as after a lost answer, and is logged. For the other answers that come through Qt, the body must be a whole JSON document, which a body in chunks, doubled or cut is not; their tests passed before.

Evidence: on the code before, PlatformClientTest.takesOnlyTheWordsOfTheStoreForTheOutcomeOfAWrite and takesNoBodyWhoseLengthIsLostForAnAnswer failed; both pass.

--- a/lib/Wire/PlatformClient.cpp
+++ b/lib/Wire/PlatformClient.cpp
@@ -127,15 +127,19 @@
     });
 }
 
+/// Only the store's own words are an outcome. A response that is damaged tells nothing of the write.
 static StoreWriteOutcome parseWriteOutcome(QNetworkReply &reply)
 {
-    if (!succeeded(reply)) {
-        logEvent(LogLevel::info,
-                 "store-write-unknown",
-                 {{.key = "store", .value = reply.url().authority().toStdString()}, {.key = "detail", .value = describeFailure(reply)}});
-        return StoreWriteOutcome::unknown;
+    const QByteArray body = reply.readAll().trimmed();
+    if (succeeded(reply) && body == "true") {
+        return StoreWriteOutcome::written;
+    }
+    if (succeeded(reply) && body == "false") {
+        return StoreWriteOutcome::conflict;
     }
-    return reply.readAll().trimmed() == "true" ? StoreWriteOutcome::written : StoreWriteOutcome::conflict;
+    const std::string detail = succeeded(reply) ? "body of " + std::to_string(body.size()) + " bytes, neither true nor false" : describeFailure(reply);
+    logEvent(LogLevel::info, "store-write-unknown", {{.key = "store", .value = reply.url().authority().toStdString()}, {.key = "detail", .value = detail}});
+    return StoreWriteOutcome::unknown;
 }
 
 namespace {
--- a/unittests/Wire/PlatformClientTest.cpp
+++ b/unittests/Wire/PlatformClientTest.cpp
@@ -184,4 +184,34 @@
     }
 }
 
+/// Guards against a write that is reported as refused because the response does not say that it was done.
+TEST_F(PlatformClientTest, takesOnlyTheWordsOfTheStoreForTheOutcomeOfAWrite)
+{
+    for (const std::string body : {"", "tru", "fals", "maybe", "truefalse", "4\r\ntrue"}) {
+        const RawResponseServer raw("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        this->client = std::make_unique<PlatformClient>(PlatformClient::Options{.address = raw.address()});
+        EXPECT_EQ(this->write("v"), StoreWriteOutcome::unknown) << body;
+    }
+}
+
+/// Qt drops all fields of a head in which it finds an invalid name, so that the length and the coding of the body are not known. A body that
+/// differs from the one that was meant must not be taken for an answer.
+TEST_F(PlatformClientTest, takesNoBodyWhoseLengthIsLostForAnAnswer)
+{
+    for (const std::string name : {"X A", "X-A ", "X\x01", "X-A\t"}) {
+        const std::string line = name + ": 1\r\n";
+        for (const std::string framed : {"Transfer-Encoding: chunked\r\n\r\n4\r\ntrue\r\n0\r\n\r\n", "Content-Length: 4\r\n\r\ntruetrue"}) {
+            const RawResponseServer raw("HTTP/1.1 200 OK\r\n" + line + framed);
+            this->client = std::make_unique<PlatformClient>(PlatformClient::Options{.address = raw.address()});
+            EXPECT_EQ(this->write("v"), StoreWriteOutcome::unknown) << line << framed;
+        }
+        for (const std::string framed : {"Transfer-Encoding: chunked\r\n\r\n2\r\n[]\r\n0\r\n\r\n", "Content-Length: 2\r\n\r\n[][]"}) {
+            const RawResponseServer raw("HTTP/1.1 200 OK\r\n" + line + framed);
+            this->client = std::make_unique<PlatformClient>(PlatformClient::Options{.address = raw.address()});
+            EXPECT_FALSE(this->listInstances()) << line << framed;
+            EXPECT_FALSE(this->readKey()) << line << framed;
+        }
+    }
+}
+
 } // namespace ragwort
