BackendClient: response-invalid names the caller's request

docs/OPERATIONS.md promises request=ID in every line about a request; the new event had only the number of the query. Seen in a run of RouteProcessTest.callersGetNoInvalidResponses with the log at level info.

--- a/lib/Wire/BackendClient.cpp
+++ b/lib/Wire/BackendClient.cpp
@@ -429,11 +429,13 @@
     /// Returns the outcome of a request whose response is invalid.
     SubFailureReport rejectResponse(const char *fault) const
     {
+        const SubRequest &sub = this->current.request;
         const std::string status = this->parser->is_header_done() ? std::to_string(this->parser->get().result_int()) : std::string();
         logRequestEvent(LogLevel::info,
                         "response-invalid",
-                        {{.key = "query", .value = std::to_string(this->current.request.query)},
-                         {.key = "server", .value = this->current.request.serverId},
+                        {{.key = "request", .value = sub.forwarded ? sub.forwarded->callerRequestId : "-"},
+                         {.key = "query", .value = std::to_string(sub.query)},
+                         {.key = "server", .value = sub.serverId},
                          {.key = "status", .value = status},
                          {.key = "fault", .value = fault}});
         return {.failure = SubFailure::protocol, .report = std::nullopt, .answer = std::nullopt};
