--- a/unittests/Wire/RawResponseServer.h
+++ b/unittests/Wire/RawResponseServer.h
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <string>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <thread>
 #include <unistd.h>
 
@@ -61,6 +62,9 @@
     void serve()
     {
         for (int connection = ::accept(this->listener, nullptr, nullptr); connection >= 0; connection = ::accept(this->listener, nullptr, nullptr)) {
+            // A client may connect and send nothing.
+            const timeval receiveTimeout{.tv_sec = 2, .tv_usec = 0};
+            ::setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &receiveTimeout, sizeof receiveTimeout);
             char request[4096];
             if (::recv(connection, request, sizeof request, 0) > 0) {
                 ++this->requests;
