--- a/unittests/Platform/PlatformFakes.cpp
+++ b/unittests/Platform/PlatformFakes.cpp
@@ -4,8 +4,7 @@
 
 #include <QJsonArray>
 #include <QJsonDocument>
-#include <QUrl>
-#include <QUrlQuery>
+#include <cctype>
 
 namespace ragwort::platform {
 
@@ -14,16 +13,6 @@
     return {.status = status, .headers = {}, .body = QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString()};
 }
 
-static std::map<std::string, std::string> parseQuery(const std::string &target)
-{
-    std::map<std::string, std::string> values;
-    const QUrlQuery query(QUrl(QString::fromStdString(target)));
-    for (const auto &[name, value] : query.queryItems(QUrl::FullyDecoded)) {
-        values[name.toStdString()] = value.toStdString();
-    }
-    return values;
-}
-
 static std::string queryValue(const std::map<std::string, std::string> &query, const std::string &name)
 {
     const auto found = query.find(name);
@@ -77,6 +66,48 @@
             {"lease", static_cast<qint64>(item.lease)}};
 }
 
+std::optional<std::string> FakeMetadataStore::decodeQueryText(std::string_view text) const
+{
+    std::string decoded;
+    for (std::size_t position = 0; position < text.size(); ++position) {
+        const char octet = text[position];
+        if (octet == '+' && this->queryDecoding == QueryDecoding::form) {
+            decoded += ' ';
+            continue;
+        }
+        if (octet != '%') {
+            decoded += octet;
+            continue;
+        }
+        const std::string digits(text.substr(position + 1, 2));
+        if (digits.size() < 2 || std::isxdigit(static_cast<unsigned char>(digits[0])) == 0 || std::isxdigit(static_cast<unsigned char>(digits[1])) == 0) {
+            return std::nullopt;
+        }
+        decoded += static_cast<char>(std::stoi(digits, nullptr, 16));
+        position += 2;
+    }
+    return decoded;
+}
+
+std::optional<FakeMetadataStore::Query> FakeMetadataStore::parseQuery(const std::string &target) const
+{
+    Query query;
+    std::string_view rest(target);
+    rest.remove_prefix(std::min(rest.find('?'), rest.size() - 1) + 1);
+    while (!rest.empty()) {
+        const std::string_view field = rest.substr(0, rest.find('&'));
+        rest.remove_prefix(std::min(field.size() + 1, rest.size()));
+        const std::size_t equals = std::min(field.find('='), field.size());
+        const std::optional<std::string> name = this->decodeQueryText(field.substr(0, equals));
+        const std::optional<std::string> value = this->decodeQueryText(field.substr(std::min(equals + 1, field.size())));
+        if (!name || !value) {
+            return std::nullopt;
+        }
+        query[*name] = *value;
+    }
+    return query;
+}
+
 void FakeMetadataStore::handle(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange)
 {
     ++this->calls;
@@ -88,10 +119,13 @@
         return;
     }
     const std::string path = request.target.substr(0, request.target.find('?'));
-    if (path == "/kv-range") {
-        this->answerRange(parseQuery(request.target), exchange);
+    const std::optional<Query> query = this->parseQuery(request.target);
+    if (!query) {
+        exchange->respond(json(400, {}));
+    } else if (path == "/kv-range") {
+        this->answerRange(*query, exchange);
     } else if (path == "/kv-watch") {
-        this->answerWatch(parseQuery(request.target), exchange);
+        this->answerWatch(*query, exchange);
     } else if (path == "/kv-txn") {
         this->answerTransaction(request.body, exchange);
     } else if (path == "/kv-lease") {
@@ -118,10 +152,8 @@
     }
 }
 
-void FakeMetadataStore::answerRange(const std::map<std::string, std::string> &query, const std::shared_ptr<HttpExchange> &exchange) const
+void FakeMetadataStore::answerRange(const Query &query, const std::shared_ptr<HttpExchange> &exchange) const
 {
-    // Small pages force every listing to take several calls.
-    static constexpr int PAGE_SIZE = 4;
     const std::string prefix = queryValue(query, "prefix");
     QJsonArray page;
     bool more = false;
@@ -129,7 +161,7 @@
         if (!item->first.starts_with(prefix)) {
             continue;
         }
-        if (page.size() == PAGE_SIZE) {
+        if (page.size() == this->pageSize) {
             more = true;
             break;
         }
@@ -138,7 +170,7 @@
     exchange->respond(json(200, {{"items", page}, {"has_more", more}, {"current_rev", static_cast<qint64>(this->revision)}}));
 }
 
-void FakeMetadataStore::answerWatch(const std::map<std::string, std::string> &query, const std::shared_ptr<HttpExchange> &exchange)
+void FakeMetadataStore::answerWatch(const Query &query, const std::shared_ptr<HttpExchange> &exchange)
 {
     const Watch watch{
         .prefix = queryValue(query, "prefix"), .after = std::stoull(queryValue(query, "after")), .exchange = exchange, .number = ++this->lastWatchNumber};
--- a/unittests/Platform/PlatformFakes.h
+++ b/unittests/Platform/PlatformFakes.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -36,6 +37,16 @@
 
     enum class FaultMode { none, refusesRequests, unresponsive };
     FaultMode faultMode = FaultMode::none;
+    /// How the store reads the query of a call. Both are in use: what names a key must mean the same in both.
+    enum class QueryDecoding {
+        /// As the query of a URL: a plus sign stands for itself.
+        url,
+        /// As the body of a form: a plus sign stands for a blank.
+        form
+    };
+    QueryDecoding queryDecoding = QueryDecoding::url;
+    /// Maximum number of items in a page of a list. Small pages force every list to take several calls.
+    int pageSize = 4;
     std::uint64_t calls = 0;
 
     std::size_t count(const std::string &prefix) const;
@@ -65,9 +76,14 @@
         std::uint64_t number = 0;
     };
 
+    using Query = std::map<std::string, std::string>;
+
     void handle(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange);
-    void answerRange(const std::map<std::string, std::string> &query, const std::shared_ptr<HttpExchange> &exchange) const;
-    void answerWatch(const std::map<std::string, std::string> &query, const std::shared_ptr<HttpExchange> &exchange);
+    /// Returns nothing if a name or a value in the query is not percent-encoded correctly.
+    std::optional<Query> parseQuery(const std::string &target) const;
+    std::optional<std::string> decodeQueryText(std::string_view text) const;
+    void answerRange(const Query &query, const std::shared_ptr<HttpExchange> &exchange) const;
+    void answerWatch(const Query &query, const std::shared_ptr<HttpExchange> &exchange);
     void answerTransaction(const std::string &body, const std::shared_ptr<HttpExchange> &exchange);
     bool tryAnswerWatch(const Watch &watch) const;
     void notifyWatches();
--- a/unittests/Platform/RouteProcessTest.cpp
+++ b/unittests/Platform/RouteProcessTest.cpp
@@ -366,6 +366,31 @@
     }
 }
 
+/// Guards against issue 38: an entry of another writer stood among the servers under a name with characters that mean something in a query.
+/// Instances that were restarted meanwhile did not get through the list, or not to all servers in it.
+TEST_F(RouteProcessTest, anInstanceThatRestartsServesAlthoughAnEntryHasAnOddName)
+{
+    this->startAll();
+    int number = 1;
+    for (const auto decoding : {FakeMetadataStore::QueryDecoding::url, FakeMetadataStore::QueryDecoding::form}) {
+        for (const std::string name : {"a&b", "a+b", "a#b", "a%b", "%7Eb", "a b"}) {
+            this->thread.call([&] {
+                this->store->queryDecoding = decoding;
+                // Each key is the last one of a page.
+                this->store->pageSize = 1;
+                this->store->put("servers/" + name, R"({"service":["s0"],"state":"resting"})");
+            });
+            this->startPeer(++number);
+            const auto port = [number](int first) { return first + PORT_STRIDE_PER_INSTANCE * (number - 1); };
+            EXPECT_TRUE(pumpUntil([&] { return statusOf(this->get(port(READY_PORT), "/readyz")) == 200; })) << name;
+            const std::string answer = this->get(port(CALLERS_PORT), "/g/1", "id" + std::to_string(number));
+            EXPECT_NE(answer.find("X-Missing-Parts: 0"), std::string::npos) << name << '\n' << answer;
+            this->peers.clear();
+            this->thread.call([&] { this->store->remove("servers/" + name); });
+        }
+    }
+}
+
 /// Guards against a restarted instance that uses a server which has left meanwhile, or routes that have been withdrawn.
 TEST_F(RouteProcessTest, anInstanceThatRestartsReadsTheLatestContents)
 {
--- a/unittests/Platform/StoreClientTest.cpp
+++ b/unittests/Platform/StoreClientTest.cpp
@@ -1,7 +1,9 @@
 /// \file
-/// Tests of the client of the metadata store with responses that are not valid.
+/// Tests of the client of the metadata store: lists whose keys were chosen by other writers, and responses that are not valid.
 #include "platform/StoreClient.h"
 
+#include "PlatformFakes.h"
+#include "Wire/LoopThread.h"
 #include "Wire/RawResponseServer.h"
 
 #include <QCoreApplication>
@@ -54,8 +56,89 @@
     }
 };
 
+/// Keys that mean something else if they are put into a query as they are. The last ones are Latin and Japanese letters and an octet of zero.
+std::vector<std::string> oddKeys()
+{
+    return {"servers/a&b",         "servers/a&after=z",  "servers/a+b",   "servers/a#b",   "servers/a%b",    "servers/a%",
+            "servers/a%4",         "servers/a%zz",       "servers/a%41b", "servers/a%2Bb", "servers/a%25b",  "servers/%7E",
+            "servers/a b",         "servers/ ",          "servers/a=b",   "servers/a;b",   "servers/a?b/c",  "servers/a:@!$,",
+            "servers/\"<>\\^`{|}", "servers/a\x01\r\nb", "servers/\x7f",  "servers/é",     "servers/ドラム", std::string("servers/a\0b", 11)};
+}
+
+/// Runs a client against a fake store whose pages hold one item, so that each key is the last one of a page.
+class StoreListTest : public StoreClientTest, public testing::WithParamInterface<FakeMetadataStore::QueryDecoding>
+{
+protected:
+    void SetUp() override
+    {
+        StoreClientTest::SetUp();
+        const Result<std::uint16_t> port = this->thread.call([this] {
+            this->store = std::make_unique<FakeMetadataStore>(this->thread.loop);
+            this->store->queryDecoding = GetParam();
+            this->store->pageSize = 1;
+            return this->store->listen();
+        });
+        ASSERT_TRUE(port);
+        this->client = std::make_unique<StoreClient>(StoreClient::Options{.address = "127.0.0.1:" + std::to_string(*port)});
+    }
+
+    void TearDown() override
+    {
+        this->client.reset();
+        this->thread.call([this] { this->store.reset(); });
+    }
+
+    void put(const std::string &key)
+    {
+        this->thread.call([&] { this->store->put(key, "{}"); });
+    }
+
+    /// Returns the keys of the page after \p afterKey.
+    std::vector<std::string> pageAfter(const std::string &afterKey)
+    {
+        QEventLoop loop;
+        std::vector<std::string> keys;
+        this->client->readRange("servers/", afterKey, ReadConsistency::latest, [&](const Result<StorePage> &page) {
+            if (page) {
+                for (const StoreItem &item : page->items) {
+                    keys.push_back(item.key);
+                }
+            }
+            loop.quit();
+        });
+        loop.exec();
+        return keys;
+    }
+
+    LoopThread thread;
+    std::unique_ptr<FakeMetadataStore> store;
+    std::unique_ptr<StoreClient> client;
+};
+
 } // namespace
 
+/// Guards against issue 38: the key that ends a page was put into the query of the next call as it was, so that the list went on at another
+/// place, or at the same one for ever.
+TEST_P(StoreListTest, thePageAfterAnyKeyBeginsBehindThatKey)
+{
+    for (const std::string &key : oddKeys()) {
+        this->put(key);
+        EXPECT_EQ(this->pageAfter(key), std::vector<std::string>()) << key;
+        const std::string next = key + "-next";
+        this->put(next);
+        EXPECT_EQ(this->pageAfter(key), std::vector<std::string>{next}) << key;
+        this->thread.call([&] {
+            this->store->remove(key);
+            this->store->remove(next);
+        });
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(BothDecodings,
+                         StoreListTest,
+                         testing::Values(FakeMetadataStore::QueryDecoding::url, FakeMetadataStore::QueryDecoding::form),
+                         [](const auto &each) { return each.param == FakeMetadataStore::QueryDecoding::url ? "url" : "form"; });
+
 /// A status such as 000 is not the store's word.
 TEST_F(StoreClientTest, takesNoResponseForAnAnswerWithoutItsStatus)
 {
