RouteControl: a list whose pages do not advance is an error, not a loop

Callers saw: nothing of this cause alone.

Cause: listPage asked for the page behind the last key for as long as the store said that there were more, and never looked whether the last page had brought it further. A first page without items, with more behind it, was taken for a complete list.

Evidence: RouteProcessTest.aListThatDoesNotAdvanceIsBegunAnew fails on the code before (no new list within 20 s).

Change: StoreListing, which does no I/O, collects the pages. A page with more behind it that is empty, or that ends with the key of an earlier page, ends the list with an error. It is logged as store-list-stuck, names the key, and the list is begun anew at the pace of failed calls. As no order of keys is assumed, no list that advances is refused. That the store responds counts only when a list is complete, or the pace would be that of a first failure each time, and a store whose lists break off would never show as lost.

--- /dev/null
+++ b/include/ragwortcart/Control/StoreListing.h
@@ -0,0 +1,51 @@
+/// \file
+/// Accumulates the pages of a list of the metadata store and decides whether the list goes on.
+///
+/// The store says whether there is another page, and the last key of a page, which any writer may have named, says where that one begins. A list
+/// therefore ends with an error when it stops advancing, whatever the cause. Performs no I/O.
+#ifndef RAGWORTCART_CONTROL_STORELISTING_H
+#define RAGWORTCART_CONTROL_STORELISTING_H
+
+#include "ragwortcart/Control/MetadataStore.h"
+
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace ragwort {
+
+class StoreListing
+{
+public:
+    /// Adds the page that follows those added before. Returns whether there are more; the next one begins after `lastKey()`. Fails with
+    /// `Errc::protocolViolation` if the page names more but does not advance the list: if it is empty, or ends with the same key as an
+    /// earlier page. The list is then incomplete and must not be used.
+    Result<bool> add(StorePage page);
+
+    std::span<const StoreItem> items() const
+    {
+        return this->allItems;
+    }
+    /// Returns the key of the last item, or an empty string before the first one.
+    std::string lastKey() const
+    {
+        return this->allItems.empty() ? std::string() : this->allItems.back().key;
+    }
+    /// Returns the store's revision when the first page was read, 0 before. Pages are not a consistent snapshot: they may contain later
+    /// changes, and a watch from this revision returns those and all others made meanwhile.
+    StoreRevision revision() const
+    {
+        return this->firstRevision;
+    }
+
+private:
+    std::vector<StoreItem> allItems;
+    StoreRevision firstRevision = 0;
+    /// The last keys of all pages but the last page of the list. No order of keys is assumed.
+    std::set<std::string> pageEnds;
+};
+
+} // namespace ragwort
+
+#endif
--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -11,6 +11,7 @@
 #include "ragwortcart/Control/ServerAttemptAggregator.h"
 #include "ragwortcart/Control/ServerRegistry.h"
 #include "ragwortcart/Control/StoreChangeFeed.h"
+#include "ragwortcart/Control/StoreListing.h"
 #include "ragwortcart/Kernel/CrashEvidence.h"
 #include "ragwortcart/Kernel/Topology.h"
 #include "ragwortcart/Model/Configuration.h"
@@ -94,12 +95,11 @@
     }
 
 private:
-    /// Accumulates the store's items while they are read page by page.
+    /// A list of the store that is being read page by page.
     struct Listing
     {
         ReadConsistency consistency = ReadConsistency::latest;
-        std::vector<StoreItem> items;
-        StoreRevision revision = 0;
+        StoreListing pages;
         /// When the first page was requested. The list contains all changes made before.
         Instant requestedAt{};
     };
@@ -133,7 +133,8 @@
     /// After the first list, waits for a relay to forward the changes since, so that most instances start without a watch of their own. At the
     /// first start, lists the store again if no relay is known yet. Watches the store if no relay forwards changes in time.
     void awaitRelay();
-    void listPage(const std::shared_ptr<Listing> &listing, const std::string &afterKey);
+    /// Reads the next page. Begins a new list after a pause if the pages do not advance.
+    void listPage(const std::shared_ptr<Listing> &listing);
     /// Replaces the previous state by a listing, unless later changes are known.
     void applyListing(const Listing &listing);
     void replaceState(std::span<const StoreItem> items, StoreRevision itemsRevision);
--- /dev/null
+++ b/lib/Control/StoreListing.cpp
@@ -0,0 +1,28 @@
+/// \file
+/// Implements the accumulation of the pages of a list.
+#include "ragwortcart/Control/StoreListing.h"
+
+#include <iterator>
+
+namespace ragwort {
+
+Result<bool> StoreListing::add(StorePage page)
+{
+    if (this->firstRevision == 0) {
+        this->firstRevision = page.revision;
+    }
+    const bool empty = page.items.empty();
+    this->allItems.insert(this->allItems.end(), std::make_move_iterator(page.items.begin()), std::make_move_iterator(page.items.end()));
+    if (!page.hasMore) {
+        return false;
+    }
+    if (empty || !this->pageEnds.insert(this->lastKey()).second) {
+        return Error{.code = Errc::protocolViolation,
+                     .step = "store-range",
+                     .peer = {},
+                     .detail = (empty ? "an empty page, with more after " : "a second page that ends with ") + this->lastKey()};
+    }
+    return true;
+}
+
+} // namespace ragwort
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -88,30 +88,31 @@
     listing->consistency = consistency;
     this->watchSuspended = false;
     listing->requestedAt = steadyNow();
-    this->listPage(listing, {});
+    this->listPage(listing);
 }
 
-void RouteControl::listPage(const std::shared_ptr<Listing> &listing, const std::string &afterKey)
+void RouteControl::listPage(const std::shared_ptr<Listing> &listing)
 {
     const bool possiblyStale = listing->consistency == ReadConsistency::possiblyStale;
     (possiblyStale ? this->storeCalls.staleLists : this->storeCalls.lists).add();
-    this->options.store.readRange({}, afterKey, listing->consistency, [this, listing, possiblyStale](Result<StorePage> page) {
+    this->options.store.readRange({}, listing->pages.lastKey(), listing->consistency, [this, listing](Result<StorePage> page) {
         if (!page) {
             this->onStoreFailure(page.error(), true);
             return;
         }
-        this->onStoreResponse();
-        if (listing->revision == 0) {
-            // Pages are not a consistent snapshot. The watch starts at the revision of the first page and covers changes made meanwhile.
-            listing->revision = page->revision;
-        }
-        for (StoreItem &item : page->items) {
-            listing->items.push_back(std::move(item));
+        const Result<bool> hasMore = listing->pages.add(std::move(*page));
+        if (!hasMore) {
+            logEvent(LogLevel::warning,
+                     "store-list-stuck",
+                     {{.key = "error", .value = hasMore.error().describe()}, {.key = "items", .value = std::to_string(listing->pages.items().size())}});
+            this->onStoreFailure(hasMore.error(), true);
+            return;
         }
-        if (page->hasMore && !listing->items.empty()) {
-            this->listPage(listing, listing->items.back().key);
+        if (*hasMore) {
+            this->listPage(listing);
             return;
         }
+        this->onStoreResponse();
         this->applyListing(*listing);
         if (this->awaitsRelay) {
             this->awaitRelay();
@@ -150,18 +151,19 @@
 
 void RouteControl::applyListing(const Listing &listing)
 {
+    const std::span<const StoreItem> items = listing.pages.items();
+    const StoreRevision listRevision = listing.pages.revision();
     const bool possiblyStale = listing.consistency == ReadConsistency::possiblyStale;
     const Instant asOf = possiblyStale ? listing.requestedAt - STALE_LIST_AGE : listing.requestedAt;
-    if (!this->changeFeed.onListed(listing.items, listing.revision, asOf, steadyNow())) {
+    if (!this->changeFeed.onListed(items, listRevision, asOf, steadyNow())) {
         logEvent(LogLevel::info,
                  "store-list-outdated",
-                 {{.key = "revision", .value = std::to_string(listing.revision)}, {.key = "known", .value = std::to_string(this->revision)}});
+                 {{.key = "revision", .value = std::to_string(listRevision)}, {.key = "known", .value = std::to_string(this->revision)}});
         return;
     }
-    logEvent(LogLevel::info,
-             "store-listed",
-             {{.key = "revision", .value = std::to_string(listing.revision)}, {.key = "items", .value = std::to_string(listing.items.size())}});
-    this->replaceState(listing.items, listing.revision);
+    logEvent(
+        LogLevel::info, "store-listed", {{.key = "revision", .value = std::to_string(listRevision)}, {.key = "items", .value = std::to_string(items.size())}});
+    this->replaceState(items, listRevision);
     this->performChangeFeedActions();
 }
 
--- a/unittests/Platform/PlatformFakes.cpp
+++ b/unittests/Platform/PlatformFakes.cpp
@@ -152,12 +152,15 @@
     }
 }
 
-void FakeMetadataStore::answerRange(const Query &query, const std::shared_ptr<HttpExchange> &exchange) const
+void FakeMetadataStore::answerRange(const Query &query, const std::shared_ptr<HttpExchange> &exchange)
 {
     const std::string prefix = queryValue(query, "prefix");
+    const bool repeats = this->faultMode == FaultMode::repeatsFirstPage;
+    const std::string after = queryValue(query, "after");
+    this->lists += after.empty() ? 1 : 0;
     QJsonArray page;
-    bool more = false;
-    for (auto item = this->items.upper_bound(queryValue(query, "after")); item != this->items.end(); ++item) {
+    bool more = repeats;
+    for (auto item = this->items.upper_bound(repeats ? std::string() : after); item != this->items.end(); ++item) {
         if (!item->first.starts_with(prefix)) {
             continue;
         }
--- a/unittests/Platform/PlatformFakes.h
+++ b/unittests/Platform/PlatformFakes.h
@@ -35,7 +35,13 @@
     /// Compacts the history and closes the connections of all watches. A watch from an earlier revision then fails with 410.
     void compact();
 
-    enum class FaultMode { none, refusesRequests, unresponsive };
+    enum class FaultMode {
+        none,
+        refusesRequests,
+        unresponsive,
+        /// Answers each call for a page of a list with the first page, and says that there are more.
+        repeatsFirstPage,
+    };
     FaultMode faultMode = FaultMode::none;
     /// How the store reads the query of a call. Both are in use: what names a key must mean the same in both.
     enum class QueryDecoding {
@@ -48,6 +54,8 @@
     /// Maximum number of items in a page of a list. Small pages force every list to take several calls.
     int pageSize = 4;
     std::uint64_t calls = 0;
+    /// Number of lists that were begun.
+    std::uint64_t lists = 0;
 
     std::size_t count(const std::string &prefix) const;
     std::size_t openWatches() const
@@ -82,7 +90,7 @@
     /// Returns nothing if a name or a value in the query is not percent-encoded correctly.
     std::optional<Query> parseQuery(const std::string &target) const;
     std::optional<std::string> decodeQueryText(std::string_view text) const;
-    void answerRange(const Query &query, const std::shared_ptr<HttpExchange> &exchange) const;
+    void answerRange(const Query &query, const std::shared_ptr<HttpExchange> &exchange);
     void answerWatch(const Query &query, const std::shared_ptr<HttpExchange> &exchange);
     void answerTransaction(const std::string &body, const std::shared_ptr<HttpExchange> &exchange);
     bool tryAnswerWatch(const Watch &watch) const;
--- a/unittests/Platform/RouteProcessTest.cpp
+++ b/unittests/Platform/RouteProcessTest.cpp
@@ -391,6 +391,25 @@
     }
 }
 
+/// Guards against issue 38: a list whose pages did not advance was continued for ever, without a line in the log. It is begun anew, at the pace
+/// of calls that fail, so that the instance is ready soon after the pages advance again.
+TEST_F(RouteProcessTest, aListThatDoesNotAdvanceIsBegunAnew)
+{
+    this->startAll();
+    const auto lists = [this] { return this->thread.call([this] { return this->store->lists; }); };
+    const std::uint64_t before = this->thread.call([this] {
+        this->store->faultMode = FakeMetadataStore::FaultMode::repeatsFirstPage;
+        return this->store->lists;
+    });
+    this->startPeer(2);
+    EXPECT_TRUE(pumpUntil([&] { return lists() >= before + 3; }));
+    EXPECT_EQ(statusOf(this->get(READY_PORT + PORT_STRIDE_PER_INSTANCE, "/readyz")), 503);
+    this->thread.call([this] { this->store->faultMode = FakeMetadataStore::FaultMode::none; });
+    EXPECT_TRUE(pumpUntil([this] { return statusOf(this->get(READY_PORT + PORT_STRIDE_PER_INSTANCE, "/readyz")) == 200; }));
+    const std::string answer = this->get(CALLERS_PORT + PORT_STRIDE_PER_INSTANCE, "/g/1");
+    EXPECT_NE(answer.find("X-Missing-Parts: 0"), std::string::npos) << answer;
+}
+
 /// Guards against a restarted instance that uses a server which has left meanwhile, or routes that have been withdrawn.
 TEST_F(RouteProcessTest, anInstanceThatRestartsReadsTheLatestContents)
 {
