StoreFormat: an id that no header can carry names no server

Callers saw: nothing that was reported.

Cause: the id of a server, the end of its entry's key, is sent with each request to it. An entry that is valid but for a line break in its name added a field of its own, or a whole request, to the requests of callers (UNASKED).

Evidence: RouteProcessTest.theNameOfAnEntryAddsNothingToRequests fails on the code before: with "i-0c\r\nX-Injected: 1" the server got the field X-Injected and ran the request; with a whole request behind the line break the callers' request ran as well, where 503 is due.

All others are taken as before: an id with &, +, #, % or a blank inside reaches its server as it is.

--- a/unittests/Platform/RouteProcessTest.cpp
+++ b/unittests/Platform/RouteProcessTest.cpp
@@ -410,6 +410,35 @@
     EXPECT_NE(answer.find("X-Missing-Parts: 0"), std::string::npos) << answer;
 }
 
+/// Guards against the cause of issue 38 in a header: an entry whose name ends the header field that names the server, and then adds a field or a
+/// request of its own.
+TEST_F(RouteProcessTest, theNameOfAnEntryAddsNothingToRequests)
+{
+    this->startAll();
+    int version = 1;
+    for (const std::string name : {"i-0c\r\nX-Injected: 1", "i-0c\r\n\r\nGET /injected HTTP/1.1\r\nX-Request-Id: x"}) {
+        this->thread.call([&] {
+            for (const char *serverId : {"i-0a", "i-0b"}) {
+                this->store->remove(std::string("servers/") + serverId);
+            }
+            this->store->put("servers/" + name, entryText("s0", this->ports["i-0a"], "ready"));
+        });
+        // Changes are applied in the order of their revisions: when the new route answers, the odd entry has been read.
+        const std::string newRoute = "/v" + std::to_string(++version) + '/';
+        this->putRoutes(version, {"s0", "s1", "s2", "s3"}, newRoute);
+        ASSERT_TRUE(pumpUntil([&] { return statusOf(this->get(CALLERS_PORT, newRoute + '1')) == 200; }));
+        const std::uint64_t before = this->runs("i-0");
+        const std::string answer = this->get(CALLERS_PORT, "/one/1");
+        EXPECT_EQ(statusOf(answer), 503) << answer;
+        EXPECT_EQ(this->runs("i-0"), before) << name;
+        this->thread.call([&] {
+            EXPECT_EQ(this->servers["i-0a"]->lastRequest.header("X-Injected"), "");
+            EXPECT_NE(this->servers["i-0a"]->lastRequest.target, "/injected");
+            this->store->remove("servers/" + name);
+        });
+    }
+}
+
 /// Guards against a restarted instance that uses a server which has left meanwhile, or routes that have been withdrawn.
 TEST_F(RouteProcessTest, anInstanceThatRestartsReadsTheLatestContents)
 {
--- a/unittests/Platform/StoreFormatTest.cpp
+++ b/unittests/Platform/StoreFormatTest.cpp
@@ -71,6 +71,23 @@
     EXPECT_FALSE(decodeServer("i-1", "\xff\x00"));
 }
 
+/// Guards against the cause of issue 38 in a header: the id of a server, which any writer of an entry may choose, is sent to the server with each
+/// request. One that ends the field begins another one, or another request.
+TEST(StoreFormatTest, anIdThatNoHeaderCanCarryNamesNoServer)
+{
+    const PlatformStoreFormat format;
+    for (const std::string id : {"", " ", " a", "a ", "\ta", "a\t", "a\tb", "a\r\nX-B: 1", "a\nb", "a\rb", "a\x01", "\x7f"}) {
+        EXPECT_TRUE(std::holds_alternative<UnreadableItem>(format.decode("servers/" + id, SERVER))) << id;
+    }
+    EXPECT_TRUE(std::holds_alternative<UnreadableItem>(format.decode(std::string_view("servers/a\0b", 11), SERVER)));
+    for (const std::string id : {"i-1", "a&b", "a+b", "a#b", "a%41b", "a b", "a:b/c", "é"}) {
+        const PlatformItem decoded = format.decode("servers/" + id, SERVER);
+        const auto *server = std::get_if<ServerItem>(&decoded);
+        ASSERT_NE(server, nullptr) << id;
+        EXPECT_EQ(server->entry.id, id);
+    }
+}
+
 TEST(StoreFormatTest, decodesRemovalsFromKeys)
 {
     const PlatformStoreFormat format;
