RouteProcessTest: an odd id that a header can carry reaches its server as it is

Handled already: a server whose id holds a blank, &, +, #, %, a semicolon, quotation marks, an equals sign, a comma and a backslash is used, and finds its id in X-Expect-Instance octet for octet. Passes without a change of the product; guards the check of ids against becoming too strict.

--- a/unittests/Platform/RouteProcessTest.cpp
+++ b/unittests/Platform/RouteProcessTest.cpp
@@ -439,6 +439,22 @@
     }
 }
 
+/// Only an id that no header can carry is refused: a server with any other one is used, and finds its id in the request as it is.
+TEST_F(RouteProcessTest, anOddIdReachesItsServerAsItIs)
+{
+    static const std::string ODD_ID = "i 0&c+#%41;\"=,\\";
+    this->startAll();
+    this->thread.call([this] {
+        this->store->remove("servers/i-0a");
+        this->store->remove("servers/i-0b");
+        this->store->put("servers/" + ODD_ID, entryText("s0", this->ports["i-0a"], "ready"));
+    });
+    this->putRoutes(2, {"s0", "s1", "s2", "s3"}, "/v2/");
+    ASSERT_TRUE(pumpUntil([this] { return statusOf(this->get(CALLERS_PORT, "/v2/1")) == 200; }));
+    EXPECT_EQ(statusOf(this->get(CALLERS_PORT, "/one/1")), 200);
+    EXPECT_EQ(this->thread.call([this] { return std::string(this->servers["i-0a"]->lastRequest.header("X-Expect-Instance")); }), ODD_ID);
+}
+
 /// Guards against a restarted instance that uses a server which has left meanwhile, or routes that have been withdrawn.
 TEST_F(RouteProcessTest, anInstanceThatRestartsReadsTheLatestContents)
 {
