ForwardSteps: a signature that reads as two is no part of a merge

Callers saw: nothing that was reported.

Cause: the signatures of the parts of a merged response are listed with commas between them. A server whose signature held a comma got two entries, of which at least one is no signature, so that callers had to drop the whole response, the good parts of all other servers included (MIXED).

Evidence: on the kernel before, RouteProcessTest.aSignatureWithACommaIsNoPartOfAMerge gets "X-Part-Stamps: i-0b.id1, i-1a.id1, another, i-2a.id1, i-3b.id1" with no part missing, and ForwardStepsTest.retriesAnswerThatCanNotBeMerged sees no second replica asked.

Where answers are merged, such an answer is a protocol failure of its attempt: another replica is asked, or the part is missing. The answer of a single server is returned unchanged, as before.

After: both pass, and the rest of KernelTests and PlatformTests.

--- a/include/ragwortcart/Model/ForwardedQuery.h
+++ b/include/ragwortcart/Model/ForwardedQuery.h
@@ -85,6 +85,8 @@
     std::string body;
     /// Lets callers verify which server responded to which request.
     std::string signature;
+    /// Whether the signature keeps its meaning in the list of signatures of a merged response.
+    bool mergeable = true;
     ServerStatement statement;
 
     bool success() const
--- a/lib/Kernel/ForwardSteps.cpp
+++ b/lib/Kernel/ForwardSteps.cpp
@@ -124,6 +124,12 @@
             {.query = event.query, .attempt = event.attempt, .failure = SubFailure::serverError, .report = std::nullopt, .answer = event.answer}, now);
         return;
     }
+    if (merges && !event.answer.mergeable) {
+        // It would make the parts of all other servers unreadable for the caller.
+        this->onSubRequestFailed(
+            {.query = event.query, .attempt = event.attempt, .failure = SubFailure::protocol, .report = std::nullopt, .answer = std::nullopt}, now);
+        return;
+    }
     const ServerPointer server = attempt.server;
     const Duration latency = now - attempt.sentAt;
     this->closeAttempt(attempt);
--- a/unittests/Kernel/ForwardStepsTest.cpp
+++ b/unittests/Kernel/ForwardStepsTest.cpp
@@ -94,6 +94,28 @@
     EXPECT_NE(again[0].serverId, sends[0].serverId);
 }
 
+/// Guards against the cause of issue 38 in an answer: a part whose signature would spoil the list of all signatures is asked of another replica.
+TEST(ForwardStepsTest, retriesAnswerThatCanNotBeMerged)
+{
+    RouteHarness harness;
+    harness.submit();
+    const std::vector<SubRequest> sends = harness.takeSends();
+    ForwardedAnswer unmergeable = RouteHarness::answerTo(sends[0]);
+    unmergeable.mergeable = false;
+    harness.handle(ForwardAnswered{.query = sends[0].query, .attempt = sends[0].attempt, .answer = unmergeable});
+    const std::vector<SubRequest> again = harness.takeSends();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_NE(again[0].serverId, sends[0].serverId);
+    for (std::size_t index = 1; index < sends.size(); ++index) {
+        harness.answer(sends[index]);
+    }
+    harness.answer(again[0]);
+    ASSERT_EQ(harness.replies.size(), 1U);
+    ASSERT_NE(mergedOf(harness.replies[0]), nullptr);
+    EXPECT_EQ(mergedOf(harness.replies[0])->signatures.size(), 10U);
+    EXPECT_TRUE(mergedOf(harness.replies[0])->missingShards.empty());
+}
+
 TEST(ForwardStepsTest, limitsAttemptsToTheMaximumOfTheRoute)
 {
     RouteHarness harness;
--- a/unittests/Platform/HttpProtocolsTest.cpp
+++ b/unittests/Platform/HttpProtocolsTest.cpp
@@ -137,6 +137,17 @@
     EXPECT_EQ(failureOf(this->decode(500, {stamp, echo})), SubFailure::serverError);
 }
 
+TEST_F(HttpProtocolsTest, aSignatureWithACommaCanNotBeMerged)
+{
+    const HeaderField echo{.name = "X-Request-Id", .value = "id1"};
+    const auto mergeable = [&](const std::string &signature) {
+        return std::get<ForwardedAnswer>(this->decode(200, {{.name = "X-Server-Stamp", .value = signature}, echo})).mergeable;
+    };
+    EXPECT_TRUE(mergeable("3e1b.07.5a2.600.0.c9f2a4d1"));
+    EXPECT_FALSE(mergeable("3e1b.07, 3e1b.08"));
+    EXPECT_FALSE(mergeable(","));
+}
+
 TEST_F(HttpProtocolsTest, readsTheLimitThatAServerStates)
 {
     const HeaderField stamp{.name = "X-Server-Stamp", .value = "s"};
--- a/unittests/Platform/PlatformFakes.cpp
+++ b/unittests/Platform/PlatformFakes.cpp
@@ -261,7 +261,8 @@
     const std::string requestId(request.header("X-Request-Id"));
     response.headers.push_back({.name = "X-Request-Id", .value = this->faultMode == FaultMode::mismatchedRequestId ? "another" : requestId});
     if (this->faultMode != FaultMode::missingSignature) {
-        response.headers.push_back({.name = "X-Server-Stamp", .value = this->id + "." + requestId});
+        const char *suffix = this->faultMode == FaultMode::signatureWithComma ? ", another" : "";
+        response.headers.push_back({.name = "X-Server-Stamp", .value = this->id + "." + requestId + suffix});
     }
     response.headers.push_back({.name = "X-Server-Load", .value = "1,0,2"});
     switch (this->faultMode) {
--- a/unittests/Platform/PlatformFakes.h
+++ b/unittests/Platform/PlatformFakes.h
@@ -135,6 +135,8 @@
         misdirected,
         /// Responds without a signature.
         missingSignature,
+        /// Responds with a signature that reads as two in a list.
+        signatureWithComma,
         serverError,
     };
     FaultMode faultMode = FaultMode::none;
--- a/unittests/Platform/RouteProcessTest.cpp
+++ b/unittests/Platform/RouteProcessTest.cpp
@@ -581,6 +581,23 @@
     }
 }
 
+/// Guards against the cause of issue 38 in an answer: a signature that holds a comma reads as two in the list of a merged response, which spoils
+/// the parts of all other servers.
+TEST_F(RouteProcessTest, aSignatureWithACommaIsNoPartOfAMerge)
+{
+    this->startAll();
+    this->setFaultMode("i-1", FakeBackendServer::FaultMode::signatureWithComma);
+    const std::string merged = this->get(CALLERS_PORT, "/g/1");
+    EXPECT_EQ(statusOf(merged), 200);
+    EXPECT_NE(merged.find("X-Missing-Parts: 1"), std::string::npos) << merged;
+    EXPECT_EQ(merged.find("another"), std::string::npos) << merged;
+    // The response of a single server is returned unchanged.
+    this->setFaultMode("i-0", FakeBackendServer::FaultMode::signatureWithComma);
+    const std::string single = this->get(CALLERS_PORT, "/one/1");
+    EXPECT_EQ(statusOf(single), 200);
+    EXPECT_NE(single.find(".id1, another\r\n"), std::string::npos) << single;
+}
+
 TEST_F(RouteProcessTest, appliesNewerRoutesAndIgnoresOlderOrUnreadableOnes)
 {
     this->startAll();
