PlatformClient: keys and services are percent-encoded in paths

Callers saw: nothing that was reported.

Cause: keys are made from names that operators choose, such as a team's (ragwort/config/TEAM). A "#" or "?" in one ended the path, a percent sign and two digits stood for another character.

Evidence: PlatformClientTest.aKeyOrServiceWithAnyCharactersIsSentAsItIs fails on the code before for a#b, a?b, a?cas=7, a%41b and a%2Fb, in reads, writes and lists; the other eleven names, among them a&b, a+b, a%b and "a b", were right already.

Change: the name of a key or service is percent-encoded but for slashes. The test decodes what is sent itself.

After: the test passes, as do the other 86 of WireTests and the 8 of OperatorTests.

--- a/lib/Wire/PlatformClient.cpp
+++ b/lib/Wire/PlatformClient.cpp
@@ -19,6 +19,8 @@
 /// Time allowed for the response after the wait time of a watch.
 static constexpr Duration WATCH_TIMEOUT_MARGIN = std::chrono::milliseconds(700);
 static constexpr int HTTP_NOT_FOUND = 404;
+static constexpr const char *KEY_PATH = "/v1/kv/";
+static constexpr const char *LIST_PATH = "/v1/health/service/";
 
 std::string PlatformInstance::metaValue(const std::string &key) const
 {
@@ -32,6 +34,12 @@
     this->callManager.setProxy(QNetworkProxy::NoProxy);
 }
 
+/// Returns the path of an item below \p parent. The name, a key or a service, may hold any characters; a slash stays one.
+static std::string pathOf(const char *parent, const std::string &name)
+{
+    return parent + QUrl::toPercentEncoding(QString::fromStdString(name), "/").toStdString();
+}
+
 static QUrl urlOf(const std::string &address, const std::string &path)
 {
     return QUrl(QString::fromStdString("http://" + address + path));
@@ -111,7 +119,7 @@
 
 void PlatformClient::read(const std::string &key, bool recurse, const WatchOptions &watch, const ReadCallback &callback)
 {
-    QNetworkReply *reply = this->get("/v1/kv/" + key + (recurse ? "?recurse=true" : ""), watch);
+    QNetworkReply *reply = this->get(pathOf(KEY_PATH, key) + (recurse ? "?recurse=true" : ""), watch);
     connect(reply, &QNetworkReply::finished, this, [reply, callback, peer = this->options.address] {
         reply->deleteLater();
         callback(parseKeys(*reply, peer));
@@ -120,7 +128,7 @@
 
 void PlatformClient::list(const std::string &service, const WatchOptions &watch, const ListCallback &callback)
 {
-    QNetworkReply *reply = this->get("/v1/health/service/" + service, watch);
+    QNetworkReply *reply = this->get(pathOf(LIST_PATH, service), watch);
     connect(reply, &QNetworkReply::finished, this, [reply, callback, peer = this->options.address] {
         reply->deleteLater();
         callback(parseInstances(*reply, peer));
@@ -191,7 +199,7 @@
 void PlatformClient::write(const std::string &key, const QByteArray &value, std::uint64_t expectedIndex, const WriteCallback &callback)
 {
     ++this->callCount;
-    QNetworkRequest request(urlOf(this->options.address, "/v1/kv/" + key + "?cas=" + std::to_string(expectedIndex)));
+    QNetworkRequest request(urlOf(this->options.address, pathOf(KEY_PATH, key) + "?cas=" + std::to_string(expectedIndex)));
     request.setTransferTimeout(static_cast<int>(toMs(this->options.callTimeout)));
     request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
     request.setHeader(QNetworkRequest::ContentLengthHeader, value.size());
--- a/unittests/Wire/PlatformClientTest.cpp
+++ b/unittests/Wire/PlatformClientTest.cpp
@@ -37,11 +37,11 @@
         this->thread.call([this] { this->server.reset(); });
     }
 
-    StoreWriteOutcome write(const QByteArray &value)
+    StoreWriteOutcome write(const QByteArray &value, const std::string &key = "k")
     {
         QEventLoop loop;
         StoreWriteOutcome result = StoreWriteOutcome::unknown;
-        this->client->write("k", value, 0, [&](StoreWriteOutcome outcome) {
+        this->client->write(key, value, 0, [&](StoreWriteOutcome outcome) {
             result = outcome;
             loop.quit();
         });
@@ -50,11 +50,11 @@
     }
 
     /// Lists the instances of a service and waits for the result.
-    Result<PlatformInstances> listInstances()
+    Result<PlatformInstances> listInstances(const std::string &service = "s")
     {
         QEventLoop loop;
         std::optional<Result<PlatformInstances>> result;
-        this->client->list("s", {.index = std::nullopt}, [&](Result<PlatformInstances> listed) {
+        this->client->list(service, {.index = std::nullopt}, [&](Result<PlatformInstances> listed) {
             result = std::move(listed);
             loop.quit();
         });
@@ -62,12 +62,12 @@
         return std::move(*result);
     }
 
-    /// Reads a key and waits for the result.
-    Result<KeyValues> readKey()
+    /// Reads a key, or all that start with it, and waits for the result.
+    Result<KeyValues> readKey(const std::string &key = "k", bool recurse = false)
     {
         QEventLoop loop;
         std::optional<Result<KeyValues>> result;
-        this->client->read("k", false, {.index = std::nullopt}, [&](Result<KeyValues> values) {
+        this->client->read(key, recurse, {.index = std::nullopt}, [&](Result<KeyValues> values) {
             result = std::move(values);
             loop.quit();
         });
@@ -214,4 +214,31 @@
     }
 }
 
+/// Guards against the cause of issue 38 in a path: a key that holds "?", "#" or a percent sign named another key, or ended the path.
+TEST_F(PlatformClientTest, aKeyOrServiceWithAnyCharactersIsSentAsItIs)
+{
+    std::string target;
+    this->serve([&target](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
+        target = request.target;
+        exchange->respond({.status = 200, .contentType = "application/json", .headers = {}, .body = request.method == "GET" ? "[]" : "true"});
+    });
+    const auto pathOf = [&target] { return QByteArray::fromPercentEncoding(QByteArray::fromStdString(target.substr(0, target.find('?')))).toStdString(); };
+    const auto queryOf = [&target] { return target.substr(std::min(target.find('?'), target.size())); };
+    for (const std::string name :
+         {"a&b", "a+b", "a#b", "a?b", "a?cas=7", "a%b", "a%41b", "a%2Fb", "a%zz", "a b", "a;b", "a/b", "é", "a\r\nb", "a[b]", "a:b@c"}) {
+        EXPECT_EQ(this->write("v", name), StoreWriteOutcome::written) << name;
+        EXPECT_EQ(pathOf(), "/v1/kv/" + name);
+        EXPECT_EQ(queryOf(), "?cas=0") << name;
+        EXPECT_TRUE(this->readKey(name, true)) << name;
+        EXPECT_EQ(pathOf(), "/v1/kv/" + name);
+        EXPECT_EQ(queryOf(), "?recurse=true") << name;
+        EXPECT_TRUE(this->readKey(name)) << name;
+        EXPECT_EQ(pathOf(), "/v1/kv/" + name);
+        EXPECT_EQ(queryOf(), "") << name;
+        EXPECT_TRUE(this->listInstances(name)) << name;
+        EXPECT_EQ(pathOf(), "/v1/health/service/" + name);
+        EXPECT_EQ(queryOf(), "") << name;
+    }
+}
+
 } // namespace ragwort
