StoreClient: a key that is no text hides no other entry

Callers saw: nothing that was reported.

Cause: a key with octets that are not UTF-8 made Qt's JSON parser refuse the page, every time, so that no list was ever complete. A key with an unpaired surrogate (\ud800, which JSON can hold and UTF-8 can't) was taken for one with a "?", which sorts before it: the next page began before the entry.

Seen with given bytes; no store that sends them is known.

Unpaired surrogates become U+FFFD, which sorts behind them. An id with U+FFFD names no server, as it was not received as it is and may stand for several.

An entry as large as a page whose name holds an octet from f0 on still sorts behind U+FFFD; its list ends as store-list-stuck.

--- a/unittests/Platform/StoreClientTest.cpp
+++ b/unittests/Platform/StoreClientTest.cpp
@@ -139,6 +139,27 @@
                          testing::Values(FakeMetadataStore::QueryDecoding::url, FakeMetadataStore::QueryDecoding::form),
                          [](const auto &each) { return each.param == FakeMetadataStore::QueryDecoding::url ? "url" : "form"; });
 
+/// Guards against the cause of issue 38 in an answer: an entry whose name is no text, neither in Unicode nor in UTF-8, made the whole page unreadable,
+/// or came under the name of another entry, behind which the list did not advance.
+TEST_F(StoreClientTest, aKeyThatIsNoTextHidesNoOtherEntry)
+{
+    for (const std::string octets : {"\\ud800", "\\udfff", "\xff", "\xc3", "\xed\xa0\x80"}) {
+        const std::string body = R"({"items":[{"key":"servers/a","value":"e30=","revision":1},{"key":"servers/b)" + octets
+            + R"(-","value":"e30=","revision":2},{"key":"servers/c","value":"e30=","revision":3}],"has_more":true,"current_rev":7})";
+        const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        const auto page = call<StorePage>(response, [](StoreClient &client, auto done) { client.readRange("", "", ReadConsistency::latest, done); });
+        ASSERT_TRUE(page) << octets;
+        ASSERT_EQ(page->items.size(), 3U) << octets;
+        EXPECT_EQ(page->items[0].key, "servers/a");
+        EXPECT_TRUE(page->items[1].key.starts_with("servers/b\uFFFD")) << octets << ' ' << page->items[1].key;
+        EXPECT_TRUE(page->items[1].key.ends_with('-')) << octets << ' ' << page->items[1].key;
+        EXPECT_EQ(page->items[2].key, "servers/c");
+        EXPECT_EQ(page->items[2].value, "{}");
+        EXPECT_TRUE(page->hasMore);
+        EXPECT_EQ(page->revision, 7U);
+    }
+}
+
 /// A status such as 000 is not the store's word.
 TEST_F(StoreClientTest, takesNoResponseForAnAnswerWithoutItsStatus)
 {
--- a/unittests/Platform/StoreFormatTest.cpp
+++ b/unittests/Platform/StoreFormatTest.cpp
@@ -88,6 +88,13 @@
     }
 }
 
+/// The name of such an entry was not received as it is, and may stand for several.
+TEST(StoreFormatTest, anIdThatIsNoTextNamesNoServer)
+{
+    const PlatformStoreFormat format;
+    EXPECT_TRUE(std::holds_alternative<UnreadableItem>(format.decode("servers/a\uFFFD", SERVER)));
+}
+
 TEST(StoreFormatTest, decodesRemovalsFromKeys)
 {
     const PlatformStoreFormat format;
