--- a/unittests/Platform/RouteProcessTest.cpp
+++ b/unittests/Platform/RouteProcessTest.cpp
@@ -439,6 +439,27 @@
     }
 }
 
+/// An entry of another writer among those of the instances names an instance that can't be reached. The others start, and receive changes, without it.
+TEST_F(RouteProcessTest, instancesServeAlthoughAnEntryOfAnInstanceIsOdd)
+{
+    this->startAll();
+    this->thread.call([this] {
+        this->store->pageSize = 1;
+        this->store->put("ragwort/instances/a&b+c#d%41 e", R"({"domain":"a","peers":"no address?#%41&"})");
+        this->store->put("ragwort/instances/0\r\nX-B: 1", R"({"domain":"a","peers":"127.0.0.1:99999","capacity":1e300})");
+        this->store->put("ragwort/instances/", R"({"domain":"a\r\n","peers":"ws://[::"})");
+        this->store->put("ragwort/instances/1", "\xff");
+        this->store->put("ragwort/instances/2", R"({"domain":7,"peers":["x"],"capacity":"y"})");
+    });
+    this->startPeer(2);
+    ASSERT_TRUE(pumpUntil([this] { return statusOf(this->get(READY_PORT + PORT_STRIDE_PER_INSTANCE, "/readyz")) == 200; }));
+    this->putRoutes(2, {"s0", "s1", "s2", "s3"}, "/v2/");
+    for (const int offset : {0, PORT_STRIDE_PER_INSTANCE}) {
+        EXPECT_TRUE(pumpUntil([&] { return statusOf(this->get(CALLERS_PORT + offset, "/v2/1")) == 200; }));
+        EXPECT_TRUE(pumpUntil([&] { return this->get(CALLERS_PORT + offset, "/g/1").find("X-Missing-Parts: 0") != std::string::npos; }));
+    }
+}
+
 /// Only an id that no header can carry is refused: a server with any other one is used, and finds its id in the request as it is.
 TEST_F(RouteProcessTest, anOddIdReachesItsServerAsItIs)
 {
--- a/unittests/Support/LogTest.cpp
+++ b/unittests/Support/LogTest.cpp
@@ -1,7 +1,9 @@
 #include "ragwortcart/Support/Log.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <string>
+#include <vector>
 
 namespace ragwort {
 
@@ -56,4 +58,23 @@
     EXPECT_NE(output.find("event=routes-in-force version=7"), std::string::npos);
 }
 
+/// Names of entries, header values of servers and request ids come from outside, in any octets. A line that holds some neither breaks nor hides another.
+TEST(LogTest, writesValuesOfAnyOctetsOnOneLineEach)
+{
+    testing::internal::CaptureStderr();
+    initializeLog("LogTest", "entry-0", LogLevel::info);
+    const std::vector<std::string> values
+        = {"a%m%n%d", "a\r\nevent=forged", "\xff\xfe", "\xc3", "\xed\xa0\x80", "é", std::string("a\0b", 3), "\x80\x80", "\xf4\x90\x80\x80", "\u2028"};
+    for (std::size_t index = 0; index < values.size(); ++index) {
+        logEvent(LogLevel::warning, "entry-unreadable", {{.key = "key", .value = values[index]}, {.key = "number", .value = std::to_string(index)}});
+    }
+    // Closes the appender, which writes the lines that are still queued.
+    initializeLog("LogTest", "entry-0", LogLevel::info);
+    const std::string output = testing::internal::GetCapturedStderr();
+    EXPECT_EQ(std::count(output.begin(), output.end(), '\n'), static_cast<std::ptrdiff_t>(values.size())) << output;
+    for (std::size_t index = 0; index < values.size(); ++index) {
+        EXPECT_NE(output.find(" number=" + std::to_string(index) + '\n'), std::string::npos) << index << '\n' << output;
+    }
+}
+
 } // namespace ragwort
--- a/unittests/Wire/PeerCodecTest.cpp
+++ b/unittests/Wire/PeerCodecTest.cpp
@@ -93,6 +93,28 @@
     EXPECT_EQ(read.items[1].key, "k2");
 }
 
+/// The keys of entries, which any writer may have named, reach peers as they are: with changes, removals and snapshots.
+TEST(PeerCodecTest, preservesOddKeys)
+{
+    for (const std::string &key :
+         {std::string("a&b+c#d%41 e;\"\\"), std::string("\r\n\x01\x7f"), std::string("a\0b", 3), std::string("é ドラム \uFFFD"), std::string()}) {
+        const PeerStoreSnapshot snapshot{.revision = 12, .items = {{.key = key, .value = "v", .revision = 9}}};
+        const Result<PeerMessage> readSnapshot = decodePeerMessage(encodePeerMessage(snapshot), "peer");
+        ASSERT_TRUE(readSnapshot);
+        EXPECT_EQ(std::get<PeerStoreSnapshot>(*readSnapshot).items.at(0).key, key);
+        const PeerStoreEvents events{.after = 1,
+                                     .revision = 3,
+                                     .removalGrace = {},
+                                     .events = {StoreItem{.key = key, .value = "v", .revision = 2}, StoreDeletion{.key = key, .revision = 3}}};
+        const Result<PeerMessage> readEvents = decodePeerMessage(encodePeerMessage(events), "peer");
+        ASSERT_TRUE(readEvents);
+        const auto &received = std::get<PeerStoreEvents>(*readEvents).events;
+        ASSERT_EQ(received.size(), 2U);
+        EXPECT_EQ(std::get<StoreItem>(received[0]).key, key);
+        EXPECT_EQ(std::get<StoreDeletion>(received[1]).key, key);
+    }
+}
+
 TEST(PeerCodecTest, preservesCrashNews)
 {
     const PeerCrashNews sent{.crashes = {{.fingerprint = ~std::uint64_t{0}, .serverId = "s1", .sentAge = Duration(900), .lostAge = Duration(700)}},
