Metrics: names from the configuration are escaped in labels

Evidence: RouteProcessTest.theNameOfARouteStaysInItsLabel fails on the code before: `ragwort_query_seconds_bucket{team="h",kind="a"} 7` and a second line.

Change: metricLabel escapes quotation marks, backslashes and line breaks, as the text format asks. Labels whose values are constants stay as they are.

After: the test and MetricLabelTest pass.

--- a/include/ragwortcart/Support/Metrics.h
+++ b/include/ragwortcart/Support/Metrics.h
@@ -86,6 +86,9 @@
     Instant periodEnd{};
 };
 
+/// Returns a label of a metric, in the Prometheus text format, for a value that may hold any characters.
+std::string metricLabel(std::string_view name, std::string_view value);
+
 /// All metrics of a process. Label sets are strings in the Prometheus syntax without braces, for example `kind="a",run="ran"`.
 /// Looking up a metric takes a lock; the returned reference stays valid, so that callers keep it. Thread-safe.
 class MetricsRegistry
--- a/lib/Runtime/Worker.cpp
+++ b/lib/Runtime/Worker.cpp
@@ -264,7 +264,7 @@
 {
     LatencyHistogram *&histogram = this->latencies[team + '/' + kind];
     if (histogram == nullptr) {
-        histogram = &this->options.metrics.histogram("ragwort_query_seconds", "team=\"" + team + "\",kind=\"" + kind + '"');
+        histogram = &this->options.metrics.histogram("ragwort_query_seconds", metricLabel("team", team) + ',' + metricLabel("kind", kind));
     }
     return *histogram;
 }
--- a/lib/Support/Metrics.cpp
+++ b/lib/Support/Metrics.cpp
@@ -88,6 +88,22 @@
     return std::max(this->current->quantile(quantile), this->previous->quantile(quantile));
 }
 
+std::string metricLabel(std::string_view name, std::string_view value)
+{
+    std::string label = std::string(name) + "=\"";
+    for (const char character : value) {
+        if (character == '\n') {
+            label += "\\n";
+            continue;
+        }
+        if (character == '"' || character == '\\') {
+            label += '\\';
+        }
+        label += character;
+    }
+    return label + '"';
+}
+
 Counter &MetricsRegistry::counter(const std::string &name, const std::string &labels)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
--- a/unittests/Platform/RouteProcessTest.cpp
+++ b/unittests/Platform/RouteProcessTest.cpp
@@ -163,7 +163,7 @@
         once.insert("service", "s0");
         QJsonArray routes{merging, one, once};
         if (!extra.empty()) {
-            QJsonObject added = route("extra", extra.c_str(), "safe");
+            QJsonObject added = route(this->extraRouteName.c_str(), extra.c_str(), "safe");
             added.insert("service", "s1");
             routes.append(added);
         }
@@ -287,6 +287,8 @@
         std::unique_ptr<RouteProcess> process;
     };
 
+    /// Name of the route that `putRoutes()` adds.
+    std::string extraRouteName = "extra";
     LoopThread thread;
     std::string storeAddress;
     std::vector<Peer> peers;
@@ -439,6 +441,17 @@
     }
 }
 
+/// Guards against the cause of issue 38 on the metrics page: the name of a route ended its label and its line, so that the page could not be read.
+TEST_F(RouteProcessTest, theNameOfARouteStaysInItsLabel)
+{
+    this->startAll();
+    this->extraRouteName = "a\"} 7\nb\\c";
+    this->putRoutes(2, {"s0", "s1", "s2", "s3"}, "/v2/");
+    ASSERT_TRUE(pumpUntil([this] { return statusOf(this->get(CALLERS_PORT, "/v2/1")) == 200; }));
+    const std::string metrics = this->get(METRICS_PORT, "/metrics");
+    EXPECT_NE(metrics.find("kind=\"a\\\"} 7\\nb\\\\c\""), std::string::npos) << metrics;
+}
+
 /// An entry of another writer among those of the instances names an instance that can't be reached. The others start, and receive changes, without it.
 TEST_F(RouteProcessTest, instancesServeAlthoughAnEntryOfAnInstanceIsOdd)
 {
--- a/unittests/Support/MetricsTest.cpp
+++ b/unittests/Support/MetricsTest.cpp
@@ -84,4 +84,12 @@
     EXPECT_EQ(metrics.counterTotal("things_total"), 7U);
 }
 
+/// Guards against the cause of issue 38 on the metrics page: the name of a team or a kind ended its label, so that the page could not be read.
+TEST(MetricLabelTest, escapesWhatWouldEndTheValue)
+{
+    EXPECT_EQ(metricLabel("kind", "gate-check"), "kind=\"gate-check\"");
+    EXPECT_EQ(metricLabel("kind", "a\"} 7\nb\\c"), "kind=\"a\\\"} 7\\nb\\\\c\"");
+    EXPECT_EQ(metricLabel("kind", "a&b+c#d%41 e{},="), "kind=\"a&b+c#d%41 e{},=\"");
+}
+
 } // namespace ragwort
