--- a/unittests/Platform/PlatformFakes.cpp
+++ b/unittests/Platform/PlatformFakes.cpp
@@ -92,8 +92,8 @@
 std::optional<FakeMetadataStore::Query> FakeMetadataStore::parseQuery(const std::string &target) const
 {
     Query query;
-    std::string_view rest(target);
-    rest.remove_prefix(std::min(rest.find('?'), rest.size() - 1) + 1);
+    const std::size_t questionMark = target.find('?');
+    std::string_view rest = questionMark == std::string::npos ? std::string_view() : std::string_view(target).substr(questionMark + 1);
     while (!rest.empty()) {
         const std::string_view field = rest.substr(0, rest.find('&'));
         rest.remove_prefix(std::min(field.size() + 1, rest.size()));
