--- a/include/ragwortcart/Control/StoreListing.h
+++ b/include/ragwortcart/Control/StoreListing.h
@@ -42,7 +42,7 @@
 private:
     std::vector<StoreItem> allItems;
     StoreRevision firstRevision = 0;
-    /// The last keys of all pages but the last page of the list. No order of keys is assumed.
+    /// The last key of each page that had more behind it. No order of keys is assumed.
     std::set<std::string> pageEnds;
 };
 
