RouteHarness: a failure without a response builds under AddressSanitizer without a false warning

It is what met in CrashStepsTest. Two functions take the place of the default argument; what the events say is the same.

--- a/unittests/Kernel/RouteHarness.h
+++ b/unittests/Kernel/RouteHarness.h
@@ -155,10 +155,19 @@
         this->handle(ForwardAnswered{.query = request.query, .attempt = request.attempt, .answer = answerTo(request)});
     }
 
-    void fail(const SubRequest &request, SubFailure failure, std::optional<ForwardedAnswer> response = std::nullopt)
+    // Two functions instead of a default argument, which g++ 12 takes for uninitialised when it inlines it under AddressSanitizer.
+    void fail(const SubRequest &request, SubFailure failure)
     {
-        this->handle(
-            SubRequestFailed{.query = request.query, .attempt = request.attempt, .failure = failure, .report = std::nullopt, .answer = std::move(response)});
+        SubRequestFailed failed;
+        failed.query = request.query;
+        failed.attempt = request.attempt;
+        failed.failure = failure;
+        this->handle(failed);
+    }
+
+    void fail(const SubRequest &request, SubFailure failure, const ForwardedAnswer &response)
+    {
+        this->handle(SubRequestFailed{.query = request.query, .attempt = request.attempt, .failure = failure, .report = std::nullopt, .answer = response});
     }
 
     /// Returns the sub-requests sent since the last call.
