Store observability: the position of every answer, lists that count as outdated, revisions that go down

Callers saw requests handled as only an older version of the routes allows; from the logs it could not be told whether the store had come back from an older copy, had given a list of older contents, or was not heard at all. Now an instance logs and exports the epoch that the store states (store-epoch, ragwort_store_epoch), logs answers whose revision is lower than what it knows (store-revision-decreased), lists that it ignores as a warning with how long ago they were asked for (store-list-outdated, counted in ragwort_store_lists_outdated_total), and what a list held against the revision that it names (store-listed, newest_item). A position is a typed value of epoch and revision where it comes from the store.

--- a/include/ragwortcart/Control/MetadataStore.h
+++ b/include/ragwortcart/Control/MetadataStore.h
@@ -4,6 +4,7 @@
 #ifndef RAGWORTCART_CONTROL_METADATASTORE_H
 #define RAGWORTCART_CONTROL_METADATASTORE_H
 
+#include "ragwortcart/Control/StorePosition.h"
 #include "ragwortcart/Support/Clock.h"
 #include "ragwortcart/Support/Error.h"
 
@@ -16,8 +17,6 @@
 
 namespace ragwort {
 
-/// Number of a change in the store; increases with each change of any item.
-using StoreRevision = std::uint64_t;
 using LeaseId = std::uint64_t;
 
 struct StoreItem
@@ -42,15 +41,15 @@
 {
     std::vector<StoreItem> items;
     bool hasMore = false;
-    /// The store's revision when the page was read.
-    StoreRevision revision = 0;
+    /// The store's position when the page was read.
+    StorePosition position;
 };
 
 struct StoreEvents
 {
     std::vector<StoreEvent> events;
-    /// The revision from which the next watch continues.
-    StoreRevision revision = 0;
+    /// The position from which the next watch continues.
+    StorePosition position;
 };
 
 struct StoreLease
@@ -70,16 +69,19 @@
 public:
     virtual ~MetadataStore() = default;
 
+    /// \p observer is called with the store's epoch for each answer that states it, errors included, before the callback of the call.
+    virtual void setEpochObserver(std::function<void(StoreEpoch)> observer) = 0;
+
     /// Reads the items whose keys begin with \p prefix and sort after \p afterKey.
     virtual void readRange(const std::string &prefix, const std::string &afterKey, ReadConsistency consistency, std::function<void(Result<StorePage>)> callback)
         = 0;
-    /// Completes when an item under \p prefix has changed after \p revision, or after \p wait without events.
-    virtual void watch(const std::string &prefix, StoreRevision revision, Duration wait, std::function<void(Result<StoreEvents>)> callback) = 0;
+    /// Completes when an item under \p prefix has changed after \p position, or after \p wait without events. The answer may be of another epoch.
+    virtual void watch(const std::string &prefix, StorePosition position, Duration wait, std::function<void(Result<StoreEvents>)> callback) = 0;
     virtual void grantLease(Duration lifetime, std::function<void(Result<StoreLease>)> callback) = 0;
     virtual void renewLease(LeaseId lease, std::function<void(Result<StoreLease>)> callback) = 0;
     virtual void endLease(LeaseId lease) = 0;
     /// Writes an item that is deleted when \p lease ends.
-    virtual void put(const std::string &key, const QByteArray &value, LeaseId lease, std::function<void(Result<StoreRevision>)> callback) = 0;
+    virtual void put(const std::string &key, const QByteArray &value, LeaseId lease, std::function<void(Result<StorePosition>)> callback) = 0;
 };
 
 } // namespace ragwort
--- a/include/ragwortcart/Control/StoreListing.h
+++ b/include/ragwortcart/Control/StoreListing.h
@@ -32,16 +32,18 @@
     {
         return this->allItems.empty() ? std::string() : this->allItems.back().key;
     }
-    /// Returns the store's revision when the first page was read, 0 before. Pages are not a consistent snapshot: they may contain later
-    /// changes, and a watch from this revision returns those and all others made meanwhile.
-    StoreRevision revision() const
+    /// Returns the store's position when the first page was read. Pages are not a consistent snapshot: they may contain later changes, and a
+    /// watch from this position returns those and all others made meanwhile.
+    StorePosition position() const
     {
-        return this->firstRevision;
+        return this->firstPosition;
     }
+    /// Returns the revision of the latest change among the items, 0 without items.
+    StoreRevision newestItemRevision() const;
 
 private:
     std::vector<StoreItem> allItems;
-    StoreRevision firstRevision = 0;
+    StorePosition firstPosition;
     /// The last key of each page that had more behind it. No order of keys is assumed.
     std::set<std::string> pageEnds;
 };
--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -116,6 +116,7 @@
     {
         std::atomic<std::uint64_t> routesVersion{0};
         std::atomic<std::uint64_t> revision{0};
+        std::atomic<StoreEpoch> epoch{0};
         std::atomic<int> distance{STORE_UNREACHABLE};
         /// Time on the monotonic clock, in microseconds; zero before the first confirmation.
         std::atomic<std::int64_t> confirmedAtUs{0};
@@ -151,6 +152,7 @@
     void applyRoutes(const RoutesItem &routesItem, StoreRevision storeRevision);
     void rebuild();
     void scheduleExpiry();
+    void onStoreEpoch(StoreEpoch epoch);
     /// Handles a failed watch or listing and schedules the next one. \p relist requires a listing.
     void onStoreFailure(const Error &error, bool relist);
     /// Resets the failure count and ends an outage of the store.
@@ -230,6 +232,8 @@
         Counter &grants;
         Counter &renewals;
         Counter &writes;
+        /// Lists that were ignored because later changes were known.
+        Counter &outdatedLists;
     };
     StoreCalls storeCalls;
     /// Declared last, so that its thread ends before the members that it calls are destroyed. Null without peer links.
--- a/lib/Control/StoreListing.cpp
+++ b/lib/Control/StoreListing.cpp
@@ -2,14 +2,15 @@
 /// Implements the accumulation of the pages of a list.
 #include "ragwortcart/Control/StoreListing.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace ragwort {
 
 Result<bool> StoreListing::add(StorePage page)
 {
-    if (this->firstRevision == 0) {
-        this->firstRevision = page.revision;
+    if (this->firstPosition == StorePosition{}) {
+        this->firstPosition = page.position;
     }
     const bool empty = page.items.empty();
     this->allItems.insert(this->allItems.end(), std::make_move_iterator(page.items.begin()), std::make_move_iterator(page.items.end()));
@@ -25,4 +26,13 @@
     return true;
 }
 
+StoreRevision StoreListing::newestItemRevision() const
+{
+    StoreRevision newest = 0;
+    for (const StoreItem &item : this->allItems) {
+        newest = std::max(newest, item.revision);
+    }
+    return newest;
+}
+
 } // namespace ragwort
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -52,7 +52,8 @@
                   .watches = this->options.metrics.counter(STORE_CALLS, "kind=\"watch\""),
                   .grants = this->options.metrics.counter(STORE_CALLS, "kind=\"grant-lease\""),
                   .renewals = this->options.metrics.counter(STORE_CALLS, "kind=\"renew-lease\""),
-                  .writes = this->options.metrics.counter(STORE_CALLS, "kind=\"write\"")})
+                  .writes = this->options.metrics.counter(STORE_CALLS, "kind=\"write\""),
+                  .outdatedLists = this->options.metrics.counter("ragwort_store_lists_outdated_total")})
 {
     this->registerGauges();
     this->expiryTimer.setSingleShot(true);
@@ -66,12 +67,25 @@
 
 void RouteControl::start()
 {
+    this->options.store.setEpochObserver([this](StoreEpoch epoch) { this->onStoreEpoch(epoch); });
     this->startPeerLinks();
     this->awaitsRelay = this->links != nullptr;
     this->listStore(this->awaitsRelay && this->options.firstStart ? ReadConsistency::possiblyStale : ReadConsistency::latest);
     this->grantLease();
 }
 
+void RouteControl::onStoreEpoch(StoreEpoch epoch)
+{
+    const StoreEpoch before = this->gauges.epoch.exchange(epoch);
+    if (epoch != before) {
+        logEvent(LogLevel::warning,
+                 "store-epoch",
+                 {{.key = "epoch", .value = std::to_string(epoch)},
+                  {.key = "before", .value = std::to_string(before)},
+                  {.key = "known", .value = std::to_string(this->revision)}});
+    }
+}
+
 void RouteControl::leave()
 {
     this->leaving = true;
@@ -152,17 +166,24 @@
 void RouteControl::applyListing(const Listing &listing)
 {
     const std::span<const StoreItem> items = listing.pages.items();
-    const StoreRevision listRevision = listing.pages.revision();
+    const StoreRevision listRevision = listing.pages.position().revision;
     const bool possiblyStale = listing.consistency == ReadConsistency::possiblyStale;
     const Instant asOf = possiblyStale ? listing.requestedAt - STALE_LIST_AGE : listing.requestedAt;
     if (!this->changeFeed.onListed(items, listRevision, asOf, steadyNow())) {
-        logEvent(LogLevel::info,
+        this->storeCalls.outdatedLists.add();
+        logEvent(LogLevel::warning,
                  "store-list-outdated",
-                 {{.key = "revision", .value = std::to_string(listRevision)}, {.key = "known", .value = std::to_string(this->revision)}});
+                 {{.key = "position", .value = toText(listing.pages.position())},
+                  {.key = "known", .value = std::to_string(this->revision)},
+                  {.key = "asked_ms_ago", .value = std::to_string(toMs(steadyNow() - listing.requestedAt))}});
         return;
     }
-    logEvent(
-        LogLevel::info, "store-listed", {{.key = "revision", .value = std::to_string(listRevision)}, {.key = "items", .value = std::to_string(items.size())}});
+    logEvent(LogLevel::info,
+             "store-listed",
+             {{.key = "position", .value = toText(listing.pages.position())},
+              {.key = "newest_item", .value = std::to_string(listing.pages.newestItemRevision())},
+              {.key = "items", .value = std::to_string(items.size())},
+              {.key = "consistency", .value = possiblyStale ? "stale" : "latest"}});
     this->replaceState(items, listRevision);
     this->performChangeFeedActions();
 }
@@ -205,7 +226,8 @@
     this->watchSuspended = false;
     this->storeCalls.watches.add();
     const PendingWatch pending{.requestedAt = steadyNow(), .wait = this->nextWatchWait()};
-    this->options.store.watch({}, this->revision, pending.wait, [this, pending](const Result<StoreEvents> &events) { this->onEvents(pending, events); });
+    this->options.store.watch(
+        {}, {.revision = this->revision}, pending.wait, [this, pending](const Result<StoreEvents> &events) { this->onEvents(pending, events); });
 }
 
 Duration RouteControl::nextWatchWait() const
@@ -236,10 +258,17 @@
         return;
     }
     this->onStoreResponse();
+    if (result->position.revision < this->revision) {
+        logEvent(LogLevel::warning,
+                 "store-revision-decreased",
+                 {{.key = "position", .value = toText(result->position)},
+                  {.key = "known", .value = std::to_string(this->revision)},
+                  {.key = "events", .value = std::to_string(result->events.size())}});
+    }
     const Instant now = steadyNow();
     const Instant coveredUntil = watchCoversUntil(answered.requestedAt, answered.wait, *result);
-    this->changeFeed.onStoreEvents(result->events, result->revision, this->registry.remainingRemovalGrace(now), coveredUntil, now);
-    this->applyEvents(result->events, result->revision);
+    this->changeFeed.onStoreEvents(result->events, result->position.revision, this->registry.remainingRemovalGrace(now), coveredUntil, now);
+    this->applyEvents(result->events, result->position.revision);
     this->performChangeFeedActions();
     // Only a few instances are relays, so a relay uses the minimum pause.
     const int watcherCount = this->changeFeed.isRelay() ? 1 : this->registry.liveInstances();
--- a/lib/Runtime/RouteControlEntry.cpp
+++ b/lib/Runtime/RouteControlEntry.cpp
@@ -35,7 +35,7 @@
                             .capacity = this->options.capacity};
     this->storeCalls.writes.add();
     this->options.store.put(
-        this->options.format.instanceKey(self.name), this->options.format.encodeInstance(self), this->lease, [this](const Result<StoreRevision> &written) {
+        this->options.format.instanceKey(self.name), this->options.format.encodeInstance(self), this->lease, [this](const Result<StorePosition> &written) {
             if (!written) {
                 logEvent(LogLevel::warning, "own-entry-not-written", {{.key = "error", .value = written.error().describe()}});
                 QTimer::singleShot(LEASE_RETRY_DELAY, this, [this] { this->grantLease(); });
--- a/lib/Runtime/RouteControlPeers.cpp
+++ b/lib/Runtime/RouteControlPeers.cpp
@@ -282,6 +282,7 @@
     MetricsRegistry &metrics = this->options.metrics;
     metrics.gauge("ragwort_routes_version", {}, [this] { return static_cast<double>(this->gauges.routesVersion.load()); });
     metrics.gauge("ragwort_store_revision", {}, [this] { return static_cast<double>(this->gauges.revision.load()); });
+    metrics.gauge("ragwort_store_epoch", {}, [this] { return static_cast<double>(this->gauges.epoch.load()); });
     metrics.gauge("ragwort_store_distance", {}, [this] { return static_cast<double>(this->gauges.distance.load()); });
     metrics.gauge("ragwort_store_confirmed_age_seconds", {}, [this] {
         const std::int64_t confirmedAtUs = this->gauges.confirmedAtUs.load();
--- a/unittests/Control/StoreListingTest.cpp
+++ b/unittests/Control/StoreListingTest.cpp
@@ -6,7 +6,7 @@
 
 static StorePage page(const std::vector<std::string> &keys, bool hasMore, StoreRevision revision = 7)
 {
-    StorePage made{.items = {}, .hasMore = hasMore, .revision = revision};
+    StorePage made{.items = {}, .hasMore = hasMore, .position = {.revision = revision}};
     for (const std::string &key : keys) {
         made.items.push_back({.key = key, .value = {}, .revision = 1});
     }
@@ -24,7 +24,7 @@
     ASSERT_TRUE(more);
     EXPECT_FALSE(*more);
     EXPECT_EQ(listing.items().size(), 3U);
-    EXPECT_EQ(listing.revision(), 7U);
+    EXPECT_EQ(listing.position().revision, 7U);
 }
 
 TEST(StoreListingTest, anEmptyStoreIsAListOfOneEmptyPage)
--- a/unittests/Platform/StoreClientTest.cpp
+++ b/unittests/Platform/StoreClientTest.cpp
@@ -50,8 +50,9 @@
     static bool accepts(const std::string &response)
     {
         const auto range = call<StorePage>(response, [](StoreClient &client, auto done) { client.readRange("p", "", ReadConsistency::latest, done); });
-        const auto watch = call<StoreEvents>(response, [](StoreClient &client, auto done) { client.watch("p", 1, std::chrono::milliseconds(100), done); });
-        const auto put = call<StoreRevision>(response, [](StoreClient &client, auto done) { client.put("k", "v", 0, done); });
+        const auto watch
+            = call<StoreEvents>(response, [](StoreClient &client, auto done) { client.watch("p", {.revision = 1}, std::chrono::milliseconds(100), done); });
+        const auto put = call<StorePosition>(response, [](StoreClient &client, auto done) { client.put("k", "v", 0, done); });
         return range || watch || put;
     }
 };
@@ -156,7 +157,7 @@
         EXPECT_EQ(page->items[2].key, "servers/c");
         EXPECT_EQ(page->items[2].value, "{}");
         EXPECT_TRUE(page->hasMore);
-        EXPECT_EQ(page->revision, 7U);
+        EXPECT_EQ(page->position.revision, 7U);
     }
 }
 
