--- a/unittests/Platform/PlatformFakes.cpp
+++ b/unittests/Platform/PlatformFakes.cpp
@@ -8,11 +8,6 @@
 
 namespace ragwort::platform {
 
-static HttpResponse json(int status, const QJsonObject &object)
-{
-    return {.status = status, .headers = {}, .body = QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString()};
-}
-
 static std::string queryValue(const std::map<std::string, std::string> &query, const std::string &name)
 {
     const auto found = query.find(name);
@@ -26,6 +21,33 @@
 {
 }
 
+void FakeMetadataStore::answer(HttpExchange &exchange, int status, const QJsonObject &object) const
+{
+    HttpResponse response{.status = status, .headers = {}, .body = QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString()};
+    if (!this->statedEpoch.empty()) {
+        response.headers.push_back({.name = "Store-Era", .value = this->statedEpoch});
+    }
+    exchange.respond(response);
+}
+
+void FakeMetadataStore::keepCopy()
+{
+    this->copy = {.items = this->items, .changes = this->changes, .leases = this->leases, .revision = this->revision, .lastLease = this->lastLease};
+}
+
+void FakeMetadataStore::restoreCopy()
+{
+    this->items = this->copy.items;
+    this->changes = this->copy.changes;
+    this->leases = this->copy.leases;
+    this->revision = this->copy.revision;
+    this->lastLease = this->copy.lastLease;
+    this->statedEpoch = std::to_string(std::stoull(this->statedEpoch) + 1);
+    for (const Watch &watch : std::exchange(this->watches, {})) {
+        watch.exchange->drop();
+    }
+}
+
 void FakeMetadataStore::put(const std::string &key, const std::string &value, std::uint64_t lease)
 {
     this->items[key] = {.value = value, .revision = ++this->revision, .lease = lease};
@@ -115,13 +137,13 @@
         return;
     }
     if (this->faultMode == FaultMode::refusesRequests) {
-        exchange->respond(json(503, {}));
+        this->answer(*exchange, 503, {});
         return;
     }
     const std::string path = request.target.substr(0, request.target.find('?'));
     const std::optional<Query> query = this->parseQuery(request.target);
     if (!query) {
-        exchange->respond(json(400, {}));
+        this->answer(*exchange, 400, {});
     } else if (path == "/kv-range") {
         this->answerRange(*query, exchange);
     } else if (path == "/kv-watch") {
@@ -130,10 +152,10 @@
         this->answerTransaction(request.body, exchange);
     } else if (path == "/kv-lease") {
         this->leases.insert(++this->lastLease);
-        exchange->respond(json(200, {{"lease", static_cast<qint64>(this->lastLease)}, {"ttl_ms", 10000}}));
+        this->answer(*exchange, 200, {{"lease", static_cast<qint64>(this->lastLease)}, {"ttl_ms", 10000}});
     } else if (path.starts_with("/kv-keep/")) {
         const bool leaseExists = this->leases.contains(std::stoull(path.substr(9)));
-        exchange->respond(json(leaseExists ? 200 : 404, {{"ttl_ms", 10000}}));
+        this->answer(*exchange, leaseExists ? 200 : 404, {{"ttl_ms", 10000}});
     } else if (path.starts_with("/kv-lease-end/")) {
         const std::uint64_t lease = std::stoull(path.substr(14));
         this->leases.erase(lease);
@@ -146,9 +168,9 @@
         for (const std::string &key : ended) {
             this->remove(key);
         }
-        exchange->respond(json(200, {}));
+        this->answer(*exchange, 200, {});
     } else {
-        exchange->respond(json(404, {}));
+        this->answer(*exchange, 404, {});
     }
 }
 
@@ -158,9 +180,11 @@
     const bool repeats = this->faultMode == FaultMode::repeatsFirstPage;
     const std::string after = queryValue(query, "after");
     this->lists += after.empty() ? 1 : 0;
+    const bool stale = this->staleReads && queryValue(query, "serializable") == "1";
+    const std::map<std::string, Item> &contents = stale ? this->copy.items : this->items;
     QJsonArray page;
     bool more = repeats;
-    for (auto item = this->items.upper_bound(repeats ? std::string() : after); item != this->items.end(); ++item) {
+    for (auto item = contents.upper_bound(repeats ? std::string() : after); item != contents.end(); ++item) {
         if (!item->first.starts_with(prefix)) {
             continue;
         }
@@ -170,7 +194,7 @@
         }
         page.append(this->itemObject(item->first, item->second));
     }
-    exchange->respond(json(200, {{"items", page}, {"has_more", more}, {"current_rev", static_cast<qint64>(this->revision)}}));
+    this->answer(*exchange, 200, {{"items", page}, {"has_more", more}, {"current_rev", static_cast<qint64>(this->revision)}});
 }
 
 void FakeMetadataStore::answerWatch(const Query &query, const std::shared_ptr<HttpExchange> &exchange)
@@ -178,7 +202,7 @@
     const Watch watch{
         .prefix = queryValue(query, "prefix"), .after = std::stoull(queryValue(query, "after")), .exchange = exchange, .number = ++this->lastWatchNumber};
     if (watch.after < this->oldestRevision) {
-        exchange->respond(json(410, {}));
+        this->answer(*exchange, 410, {});
         return;
     }
     if (this->tryAnswerWatch(watch)) {
@@ -193,7 +217,7 @@
         }
         const auto found = std::find_if(this->watches.begin(), this->watches.end(), [number](const Watch &each) { return each.number == number; });
         if (found != this->watches.end()) {
-            found->exchange->respond(json(200, {{"events", QJsonArray()}, {"current_rev", static_cast<qint64>(this->revision)}}));
+            this->answer(*found->exchange, 200, {{"events", QJsonArray()}, {"current_rev", static_cast<qint64>(this->revision)}});
             this->watches.erase(found);
         }
     });
@@ -216,7 +240,7 @@
     if (events.isEmpty()) {
         return false;
     }
-    watch.exchange->respond(json(200, {{"events", events}, {"current_rev", static_cast<qint64>(this->revision)}}));
+    this->answer(*watch.exchange, 200, {{"events", events}, {"current_rev", static_cast<qint64>(this->revision)}});
     return true;
 }
 
@@ -235,16 +259,16 @@
         const std::string key = item.value("key").toString().toStdString();
         const auto lease = static_cast<std::uint64_t>(item.value("lease").toInteger());
         if (key.starts_with("op/") || key.starts_with("servers/")) {
-            exchange->respond(json(403, {}));
+            this->answer(*exchange, 403, {});
             return;
         }
         if (lease != 0 && !this->leases.contains(lease)) {
-            exchange->respond(json(404, {}));
+            this->answer(*exchange, 404, {});
             return;
         }
         this->put(key, QByteArray::fromBase64(item.value("value").toString().toLatin1()).toStdString(), lease);
     }
-    exchange->respond(json(200, {{"revision", static_cast<qint64>(this->revision)}}));
+    this->answer(*exchange, 200, {{"revision", static_cast<qint64>(this->revision)}});
 }
 
 FakeBackendServer::FakeBackendServer(EventLoop &eventLoop, std::string serverId)
--- a/unittests/Platform/PlatformFakes.h
+++ b/unittests/Platform/PlatformFakes.h
@@ -34,6 +34,15 @@
     void remove(const std::string &key);
     /// Compacts the history and closes the connections of all watches. A watch from an earlier revision then fails with 410.
     void compact();
+    /// Keeps a copy of the contents, the history and the leases.
+    void keepCopy();
+    /// Goes back to the copy, loses what was written since, gives out its revisions again and states the next epoch. Closes the connections of
+    /// all watches.
+    void restoreCopy();
+    /// Answers reads that may be stale from the copy, with the latest revision.
+    bool staleReads = false;
+    /// The epoch in all answers; empty if the store does not state it.
+    std::string statedEpoch = "1";
 
     enum class FaultMode {
         none,
@@ -95,6 +104,7 @@
     void answerTransaction(const std::string &body, const std::shared_ptr<HttpExchange> &exchange);
     bool tryAnswerWatch(const Watch &watch) const;
     void notifyWatches();
+    void answer(HttpExchange &exchange, int status, const QJsonObject &object) const;
     QJsonObject itemObject(const std::string &key, const Item &item) const;
 
     EventLoop &loop;
@@ -102,6 +112,15 @@
     std::map<std::string, Item> items;
     std::deque<Change> changes;
     std::set<std::uint64_t> leases;
+    struct Copy
+    {
+        std::map<std::string, Item> items;
+        std::deque<Change> changes;
+        std::set<std::uint64_t> leases;
+        std::uint64_t revision = 1;
+        std::uint64_t lastLease = 100;
+    };
+    Copy copy;
     std::vector<Watch> watches;
     std::uint64_t revision = 1;
     std::uint64_t oldestRevision = 1;
