--- a/include/ragwortcart/Control/MetadataStore.h
+++ b/include/ragwortcart/Control/MetadataStore.h
@@ -56,6 +56,8 @@
 {
     LeaseId id = 0;
     Duration lifetime{};
+    /// The epoch of the store's answer.
+    StoreEpoch epoch = 0;
 };
 
 /// Whether a read returns the latest contents or may return older ones, at a lower cost to the store.
--- a/include/ragwortcart/Control/PeerMessages.h
+++ b/include/ragwortcart/Control/PeerMessages.h
@@ -85,13 +85,13 @@
 /// Sent periodically: the sender's distance from the platform's metadata store.
 struct PeerStoreDigest
 {
-    /// The sender has all changes up to this revision.
-    StoreRevision revision = 0;
+    /// The sender has all changes up to this position.
+    StorePosition position;
     /// 0 if the sender watches the store itself, 1 if its source does, and so on.
     int distance = STORE_UNREACHABLE;
     /// The sender subscribes to the receiver, which is to forward changes as they arrive.
     bool wantsEvents = false;
-    /// Time since the store is known to have held no change after `revision`. Negative if unknown.
+    /// Time since the store is known to have held no change after `position`. Negative if unknown.
     Duration confirmedAge = AGE_UNKNOWN;
     /// The sender can send a `PeerStoreSnapshot`.
     bool offersSnapshot = false;
@@ -107,17 +107,17 @@
 /// All items of the metadata store. Sent to an instance that lacks changes which no history contains any more.
 struct PeerStoreSnapshot
 {
-    /// Invariant: `items` are the contents of the store at this revision.
-    StoreRevision revision = 0;
+    /// Invariant: `items` are the contents of the store at this position.
+    StorePosition position;
     std::vector<StoreItem> items;
 };
 
 /// Changes of the metadata store, in order.
 struct PeerStoreEvents
 {
-    /// Invariant: `events` contains all changes after `after` up to `revision`.
+    /// Invariant: `events` contains all changes of the epoch of `position` after the revision `after` up to `position`.
     StoreRevision after = 0;
-    StoreRevision revision = 0;
+    StorePosition position;
     /// How long removals may still be caused by an outage of the store.
     Duration removalGrace{};
     std::vector<StoreEvent> events;
--- a/include/ragwortcart/Control/StoreChangeFeed.h
+++ b/include/ragwortcart/Control/StoreChangeFeed.h
@@ -4,8 +4,9 @@
 /// In each failure domain a few instances, the relays, watch the store and push its changes to the others. An instance
 /// without a source among its peers watches the store itself. A relay to which the store is unavailable receives
 /// changes from relays of other domains. An instance to which the store is unavailable and that lacks changes which its
-/// peers no longer hold gets all items from a peer. Performs no I/O: inputs are timestamped link events, messages and
-/// store replies; outputs are actions.
+/// peers no longer hold gets all items from a peer. Changes count within one epoch of the store: when an instance hears of a later one, its contents
+/// are out of date as a whole until a list of the store, or all items of a peer, replace them. Performs no I/O: inputs are timestamped link events, messages
+/// and store replies; outputs are actions.
 #ifndef RAGWORTCART_CONTROL_STORECHANGEFEED_H
 #define RAGWORTCART_CONTROL_STORECHANGEFEED_H
 
@@ -39,8 +40,8 @@
 {
     std::string peer;
     std::vector<StoreEvent> events;
-    /// All changes up to this revision are known once the events are applied.
-    StoreRevision upTo = 0;
+    /// All changes up to this position are known once the events are applied. Invariant: in the epoch of what was known before.
+    StorePosition upTo;
     /// Removals within this time may be caused by an outage of the store.
     Duration removalGrace{};
 };
@@ -49,7 +50,7 @@
 struct ApplyRelayedSnapshot
 {
     std::string peer;
-    StoreRevision revision = 0;
+    StorePosition position;
     std::vector<StoreItem> items;
 };
 
@@ -87,6 +88,8 @@
         std::size_t historyBytes = 256 * 1024;
         /// A peer that asks again for a snapshot gets the next one after this time.
         Duration snapshotInterval = std::chrono::seconds(2);
+        /// How long an instance that is no relay waits for a peer's snapshot of a new epoch before it lists the store itself.
+        Duration newEpochWait = std::chrono::milliseconds(1000);
     };
 
     explicit StoreChangeFeed(Options feedOptions);
@@ -105,11 +108,14 @@
     void onEvents(const std::string &peer, const PeerStoreEvents &message, Instant now);
     void onSnapshot(const std::string &peer, const PeerStoreSnapshot &snapshot, Instant now);
 
-    /// The store has been listed; all changes up to \p listRevision are known, among them all that were made before \p asOf. Returns false
-    /// if later changes have arrived from a peer meanwhile; the caller must then ignore the list.
-    [[nodiscard]] bool onListed(std::span<const StoreItem> items, StoreRevision listRevision, Instant asOf, Instant now);
-    /// The store has answered a watch with the changes after the last known revision, among them all that were made before \p asOf.
-    void onStoreEvents(std::span<const StoreEvent> events, StoreRevision upTo, Duration removalGrace, Instant asOf, Instant now);
+    /// The store has stated its epoch in an answer. A lower one than before belongs to an answer that has been overtaken, and is ignored.
+    void onStoreEpoch(StoreEpoch epoch, Instant now);
+    /// The store has been listed; all changes up to \p listPosition are known, among them all that were made before \p asOf. Returns false
+    /// if a later position has become known meanwhile; the caller must then ignore the list.
+    [[nodiscard]] bool onListed(std::span<const StoreItem> items, StorePosition listPosition, Instant asOf, Instant now);
+    /// The store has answered a watch with the changes after the last known position, among them all that were made before \p asOf. \p upTo must
+    /// be in the epoch of that position.
+    void onStoreEvents(std::span<const StoreEvent> events, StorePosition upTo, Duration removalGrace, Instant asOf, Instant now);
     /// The store failed to reply.
     void onStoreUnavailable(Instant now);
     /// This instance no longer watches the store, because a peer forwards all changes.
@@ -125,6 +131,18 @@
     {
         return this->source.has_value() && !this->relay && !this->unconfirmed;
     }
+    /// Returns true if the store has begun a later epoch than that of the contents, so that they must be replaced as a whole.
+    bool isBehindEpoch() const
+    {
+        return this->position.revision > 0 && this->position.epoch < this->newestEpoch;
+    }
+    /// Returns true while a peer is expected to send the contents of the later epoch, so that this instance need not list the store.
+    bool awaitsNewEpoch(Instant now) const;
+    /// Returns the latest epoch that the store or a peer has stated.
+    StoreEpoch latestEpoch() const
+    {
+        return this->newestEpoch;
+    }
     /// Returns true if the store has not confirmed this instance's knowledge within the confirmation timeout.
     bool isUnconfirmed() const
     {
@@ -174,9 +192,12 @@
         /// `madeAtUs` of the peer's last digest.
         std::int64_t lastDigestUs = 0;
         int distance = STORE_UNREACHABLE;
-        /// Invariant: while set, the peer has been sent all changes up to `sentUpTo`, or a message that shows the gap.
+        /// The position of the peer's last digest.
+        StorePosition position;
+        /// Invariant: while set, the peer has been sent all changes of its epoch up to `sentUpTo`, or a message that shows the gap. Nothing is
+        /// sent while `sentUpTo` is in another epoch than this instance.
         bool subscribed = false;
-        StoreRevision sentUpTo = 0;
+        StorePosition sentUpTo;
         bool offersSnapshot = false;
         /// When the peer was last sent a snapshot.
         std::optional<Instant> snapshotSentAt;
@@ -209,7 +230,8 @@
     /// Returns whether the peer may be the source. An instance that watches the store uses only peers that watch it too and that
     /// precede it in the order of relays, so that no two instances choose each other.
     bool isUsable(const std::string &name, const Peer &peer, Instant now) const;
-    /// Returns the usable peer that ranks first, or nothing. With \p withSnapshot only peers that offer a snapshot count.
+    /// Returns the usable peer that ranks first among those in the epoch of the contents, or nothing. With \p withSnapshot: among those that
+    /// offer a snapshot of the latest epoch.
     std::optional<std::string> preferredPeer(bool withSnapshot, Instant now) const;
     void chooseSource(Instant now);
     void chooseSnapshotSource(Instant now);
@@ -219,7 +241,7 @@
     /// Sends all items to a peer that asked for them, unless it was sent them a short time ago.
     void sendSnapshot(const std::string &name, Peer &peer, Instant now);
     /// Makes \p base the beginning of an empty history.
-    void restartHistory(StoreRevision base);
+    void restartHistory(StorePosition base);
     void confirm(Instant when, Instant now);
     void updateUnconfirmed(Instant now);
     void sendDigestsToSubscribers(Instant now);
@@ -232,29 +254,33 @@
     std::map<std::string, Peer> peers;
     /// The peer whose events are applied locally. Invariant: linked, and nearer to the store than this instance.
     std::optional<std::string> source;
-    /// The peer that is asked for all items. Only set while `hasGap` and `storeFailed` are.
+    /// The peer that is asked for all items. Only set while `hasGap` is.
     std::optional<std::string> snapshotSource;
     /// The store failed to reply to this instance's last call.
     bool storeFailed = false;
     /// The store's last reply to this instance was successful, and the instance continues to watch it.
     bool storeAvailable = false;
-    /// Changes are missing between the local revision and the history that peers retain. Peers are not used as sources
-    /// until the store or a snapshot has supplied them.
+    /// Changes are missing between the local position and the history that peers retain, or the store has begun a later epoch. Peers are not
+    /// used as sources until the store or a snapshot has supplied what is missing.
     bool hasGap = false;
     bool leaving = false;
     /// Among the instances of its domain that watch the store for the others.
     bool relay = false;
-    /// All changes up to this revision are known; 0 before the first list.
-    StoreRevision revision = 0;
-    /// At this time the store held no change after `revision`.
+    /// All changes up to this position are known.
+    StorePosition position;
+    /// Invariant: not lower than the epoch of `position`.
+    StoreEpoch newestEpoch = 0;
+    /// When `newestEpoch` became known.
+    Instant newestEpochSince{};
+    /// At this time the store held no change after `position`.
     std::optional<Instant> lastConfirmed;
     /// `lastConfirmed` was further back than the confirmation timeout when it was last checked.
     bool unconfirmed = false;
-    /// Invariant: holds every change after `historyBegin` up to `revision`, in order.
+    /// Invariant: holds every change after `historyBegin` up to `position`, in order, all of its epoch.
     std::deque<HistoryEntry> history;
     StoreRevision historyBegin = 0;
     std::size_t historySize = 0;
-    /// Invariant: after the first list, the items of the store at `revision`.
+    /// Invariant: after the first list, the items of the store at `position`.
     StoreContents contents;
     Instant nextDigests{};
     std::vector<StoreFeedAction> actions;
--- a/include/ragwortcart/Control/StoreListing.h
+++ b/include/ragwortcart/Control/StoreListing.h
@@ -19,8 +19,8 @@
 {
 public:
     /// Adds the page that follows those added before. Returns whether there are more; the next one begins after `lastKey()`. Fails with
-    /// `Errc::protocolViolation` if the page names more but does not advance the list: if it is empty, or ends with the same key as an
-    /// earlier page. The list is then incomplete and must not be used.
+    /// `Errc::protocolViolation` if the page is of another epoch than the first one, or if it names more but does not advance the list: if it
+    /// is empty, or ends with the same key as an earlier page. The list is then incomplete and must not be used.
     Result<bool> add(StorePage page);
 
     std::span<const StoreItem> items() const
@@ -38,8 +38,6 @@
     {
         return this->firstPosition;
     }
-    /// Returns the revision of the latest change among the items, 0 without items.
-    StoreRevision newestItemRevision() const;
 
 private:
     std::vector<StoreItem> allItems;
--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -99,6 +99,8 @@
     struct Listing
     {
         ReadConsistency consistency = ReadConsistency::latest;
+        /// `readNumber` when the list was begun.
+        std::uint64_t number = 0;
         StoreListing pages;
         /// When the first page was requested. The list contains all changes made before.
         Instant requestedAt{};
@@ -107,6 +109,8 @@
     /// A watch that the store has not answered yet.
     struct PendingWatch
     {
+        /// `readNumber` when the watch was begun.
+        std::uint64_t number = 0;
         Instant requestedAt{};
         Duration wait{};
     };
@@ -131,20 +135,28 @@
 
     // Watching the store (RouteControl.cpp).
     void listStore(ReadConsistency consistency = ReadConsistency::latest);
+    /// Lists the store at once. What is pending or scheduled of the reads before has no effect any more.
+    void restartReading();
+    /// Calls \p next after \p pause, unless the reading is restarted meanwhile.
+    void continueAfter(Duration pause, std::function<void()> next);
     /// After the first list, waits for a relay to forward the changes since, so that most instances start without a watch of their own. At the
     /// first start, lists the store again if no relay is known yet. Watches the store if no relay forwards changes in time.
     void awaitRelay();
     /// Reads the next page. Begins a new list after a pause if the pages do not advance.
     void listPage(const std::shared_ptr<Listing> &listing);
-    /// Replaces the previous state by a listing, unless later changes are known.
-    void applyListing(const Listing &listing);
-    void replaceState(std::span<const StoreItem> items, StoreRevision itemsRevision);
+    /// Replaces the previous state by a listing. Returns false if a later position is known.
+    bool applyListing(const Listing &listing);
+    void replaceState(std::span<const StoreItem> items, StorePosition itemsPosition);
+    /// Handles the store's statement of its epoch in an answer.
+    void onStoreEpoch(StoreEpoch epoch);
+    /// The store has begun a later epoch, as it or a peer has stated, and has lost what this instance last wrote.
+    void onLaterEpoch();
     void watch();
     /// Returns for how long the next watch is to wait for events.
     Duration nextWatchWait() const;
     void onEvents(const PendingWatch &answered, const Result<StoreEvents> &result);
-    /// Applies the events that are newer than `revision` and publishes the resulting topology.
-    void applyEvents(std::span<const StoreEvent> events, StoreRevision upTo);
+    /// Applies the events that are newer than `position`, in whose epoch they are, and publishes the resulting topology.
+    void applyEvents(std::span<const StoreEvent> events, StorePosition upTo);
     void applyEvent(const StoreEvent &event);
     /// Applies an item. If \p listed is not null, the item belongs to a listing: servers and instances are only added to \p listed.
     void applyItem(const StoreItem &item, ListedItems *listed);
@@ -152,7 +164,6 @@
     void applyRoutes(const RoutesItem &routesItem, StoreRevision storeRevision);
     void rebuild();
     void scheduleExpiry();
-    void onStoreEpoch(StoreEpoch epoch);
     /// Handles a failed watch or listing and schedules the next one. \p relist requires a listing.
     void onStoreFailure(const Error &error, bool relist);
     /// Resets the failure count and ends an outage of the store.
@@ -161,6 +172,8 @@
     // This instance's own entry in the store (RouteControlEntry.cpp).
     void grantLease();
     void renewLease();
+    /// Gets a new lease and writes the entry again, after the store has lost both.
+    void renewOwnEntry();
     void publishInstanceEntry();
 
     // Exchanging store events, attempt counts, server warnings and crash news with peers (RouteControlPeers.cpp).
@@ -196,9 +209,14 @@
     std::shared_ptr<const RouteTable> routes;
     /// Failure domains that the operator has taken out of service.
     std::set<std::string> domainsOutOfService;
-    /// All events up to this revision have been applied. 0 before the first listing.
-    StoreRevision revision = 0;
-    /// Lease of this instance's own entry. 0 before the first lease is granted.
+    /// All events up to this position have been applied.
+    StorePosition position;
+    /// The latest epoch of the store that has been acted upon, and when it became known.
+    StoreEpoch actedOnEpoch = 0;
+    /// The epoch that the store has stated last, also if it is lower than before.
+    StoreEpoch statedEpoch = 0;
+    Instant epochKnownSince{};
+    /// Lease of this instance's own entry. 0 before the first lease is granted, and while a new one is.
     LeaseId lease = 0;
     bool leaving = false;
     /// True while a peer forwards the events and no watch or listing of the store is pending or scheduled, and while a relay is awaited.
@@ -215,6 +233,8 @@
     bool storeLost = false;
     /// Valid while `storeLost` is set.
     Instant lostSince{};
+    /// Number of restarts of the reading. Only one watch or listing with this number is pending or scheduled.
+    std::uint64_t readNumber = 0;
     /// Number of watches and listings that failed since the last successful one.
     int consecutiveFailures = 0;
     /// Set if applied events are not yet part of the published topology.
@@ -236,6 +256,10 @@
         Counter &outdatedLists;
     };
     StoreCalls storeCalls;
+    /// Restores of the store from an older copy that this instance has noticed.
+    Counter &epochChanges;
+    /// Time from hearing of an epoch until its contents are applied.
+    LatencyHistogram &epochCatchUp;
     /// Declared last, so that its thread ends before the members that it calls are destroyed. Null without peer links.
     std::unique_ptr<PeerLinks> links;
     /// `links` once they are started, for other threads.
--- a/lib/Control/StoreChangeFeed.cpp
+++ b/lib/Control/StoreChangeFeed.cpp
@@ -165,7 +165,8 @@
 {
     std::optional<std::string> best;
     for (const auto &[name, peer] : this->peers) {
-        if (!this->isUsable(name, peer, now) || (withSnapshot && !peer.offersSnapshot)) {
+        const bool suitable = withSnapshot ? peer.offersSnapshot && peer.position.epoch == this->newestEpoch : peer.position.epoch == this->position.epoch;
+        if (!suitable || !this->isUsable(name, peer, now)) {
             continue;
         }
         if (!best || this->preference(name, peer) < this->preference(*best, this->peers.at(*best))) {
@@ -179,7 +180,7 @@
 {
     this->chooseSnapshotSource(now);
     const std::optional<std::string> previous = this->source;
-    const bool needsSource = this->revision > 0 && !this->hasGap && !this->leaving && !(this->relay && this->storeAvailable);
+    const bool needsSource = this->position.revision > 0 && !this->hasGap && !this->leaving && !(this->relay && this->storeAvailable);
     const std::optional<std::string> best = needsSource ? this->preferredPeer(false, now) : std::nullopt;
     if (best == previous) {
         return;
@@ -195,13 +196,32 @@
 void StoreChangeFeed::chooseSnapshotSource(Instant now)
 {
     const std::optional<std::string> previous = this->snapshotSource;
-    const bool needsSnapshot = this->hasGap && this->storeFailed && !this->leaving;
+    const bool listsItself = !this->storeFailed && (this->relay || !this->isBehindEpoch());
+    const bool needsSnapshot = this->hasGap && !listsItself && !this->leaving;
     this->snapshotSource = needsSnapshot ? this->preferredPeer(true, now) : std::nullopt;
     if (this->snapshotSource && this->snapshotSource != previous) {
         this->sendDigest(*this->snapshotSource, now);
     }
 }
 
+bool StoreChangeFeed::awaitsNewEpoch(Instant now) const
+{
+    return this->isBehindEpoch() && !this->relay && !this->peers.empty() && now - this->newestEpochSince < this->options.newEpochWait;
+}
+
+void StoreChangeFeed::onStoreEpoch(StoreEpoch epoch, Instant now)
+{
+    if (epoch <= this->newestEpoch) {
+        return;
+    }
+    this->newestEpoch = epoch;
+    this->newestEpochSince = now;
+    if (this->isBehindEpoch()) {
+        this->hasGap = true;
+        this->chooseSource(now);
+    }
+}
+
 void StoreChangeFeed::onLinkUp(const std::string &peer, Instant now)
 {
     this->peers[peer] = {.lastContact = now};
@@ -238,15 +258,17 @@
     Peer &state = found->second;
     state.lastContact = now;
     state.distance = digest.distance;
+    const bool changedEpoch = std::exchange(state.position, digest.position).epoch != digest.position.epoch;
+    this->onStoreEpoch(digest.position.epoch, now);
     state.offersSnapshot = digest.offersSnapshot;
     state.lastDigestUs = digest.madeAtUs;
     state.confirmedAt = confirmationTime(digest);
     const std::optional<Instant> confirmedBefore = this->lastConfirmed;
-    if (state.confirmedAt && digest.revision <= this->revision) {
+    if (state.confirmedAt && digest.position.epoch == this->position.epoch && digest.position <= this->position) {
         this->confirm(*state.confirmedAt, now);
     }
-    if (digest.wantsEvents && !state.subscribed) {
-        state.sentUpTo = digest.revision;
+    if (digest.wantsEvents && (changedEpoch || !state.subscribed)) {
+        state.sentUpTo = digest.position;
     }
     state.subscribed = digest.wantsEvents;
     this->chooseSource(now);
@@ -270,20 +292,24 @@
         return;
     }
     found->second.lastContact = now;
-    if (message.after > this->revision) {
-        this->actions.emplace_back(ReportMissingChanges{.peer = peer, .known = this->revision, .after = message.after});
+    if (message.position.epoch != this->position.epoch) {
+        this->onStoreEpoch(message.position.epoch, now);
+        return;
+    }
+    if (message.after > this->position.revision) {
+        this->actions.emplace_back(ReportMissingChanges{.peer = peer, .known = this->position.revision, .after = message.after});
         this->hasGap = true;
         this->chooseSource(now);
         return;
     }
-    ApplyRelayedEvents apply{.peer = peer, .events = {}, .upTo = message.revision, .removalGrace = message.removalGrace};
+    ApplyRelayedEvents apply{.peer = peer, .events = {}, .upTo = message.position, .removalGrace = message.removalGrace};
     for (const StoreEvent &event : message.events) {
-        if (revisionOf(event) > this->revision) {
+        if (revisionOf(event) > this->position.revision) {
             this->appendHistory(event);
             apply.events.push_back(event);
         }
     }
-    this->revision = std::max(this->revision, message.revision);
+    this->position = std::max(this->position, message.position);
     if (!apply.events.empty()) {
         this->actions.emplace_back(std::move(apply));
         this->pushToAll(message.removalGrace);
@@ -292,26 +318,29 @@
 
 void StoreChangeFeed::onSnapshot(const std::string &peer, const PeerStoreSnapshot &snapshot, Instant now)
 {
-    if (!this->peers.contains(peer) || !this->hasGap || snapshot.revision < this->revision) {
+    this->onStoreEpoch(snapshot.position.epoch, now);
+    const bool outdated = snapshot.position.epoch < this->newestEpoch || snapshot.position < this->position;
+    if (!this->peers.contains(peer) || !this->hasGap || outdated) {
         return;
     }
-    this->restartHistory(snapshot.revision);
+    this->restartHistory(snapshot.position);
     this->contents.replace(snapshot.items);
     this->hasGap = false;
-    this->actions.emplace_back(ApplyRelayedSnapshot{.peer = peer, .revision = snapshot.revision, .items = snapshot.items});
+    this->actions.emplace_back(ApplyRelayedSnapshot{.peer = peer, .position = snapshot.position, .items = snapshot.items});
     this->chooseSource(now);
     this->pushToAll(Duration::zero());
     this->sendDigests(now);
 }
 
-bool StoreChangeFeed::onListed(std::span<const StoreItem> items, StoreRevision listRevision, Instant asOf, Instant now)
+bool StoreChangeFeed::onListed(std::span<const StoreItem> items, StorePosition listPosition, Instant asOf, Instant now)
 {
+    this->onStoreEpoch(listPosition.epoch, now);
     this->storeAvailable = true;
     this->storeFailed = false;
-    if (listRevision < this->revision) {
+    if (listPosition.epoch < this->newestEpoch || listPosition < this->position) {
         return false;
     }
-    this->restartHistory(listRevision);
+    this->restartHistory(listPosition);
     this->contents.replace(items);
     this->confirm(asOf, now);
     this->hasGap = false;
@@ -321,17 +350,18 @@
     return true;
 }
 
-void StoreChangeFeed::onStoreEvents(std::span<const StoreEvent> events, StoreRevision upTo, Duration removalGrace, Instant asOf, Instant now)
+void StoreChangeFeed::onStoreEvents(std::span<const StoreEvent> events, StorePosition upTo, Duration removalGrace, Instant asOf, Instant now)
 {
+    assert(upTo.epoch == this->position.epoch && !this->isBehindEpoch() && "changes of another epoch do not follow the contents");
     const bool availableBefore = std::exchange(this->storeAvailable, true);
     this->storeFailed = false;
     this->hasGap = false;
     for (const StoreEvent &event : events) {
-        if (revisionOf(event) > this->revision) {
+        if (revisionOf(event) > this->position.revision) {
             this->appendHistory(event);
         }
     }
-    this->revision = std::max(this->revision, upTo);
+    this->position = std::max(this->position, upTo);
     this->confirm(asOf, now);
     this->chooseSource(now);
     this->pushToAll(removalGrace);
@@ -434,18 +464,19 @@
 
 void StoreChangeFeed::pushTo(const std::string &name, Peer &peer, Duration removalGrace)
 {
-    if (peer.sentUpTo >= this->revision) {
+    if (peer.sentUpTo.epoch != this->position.epoch || peer.sentUpTo >= this->position) {
         return;
     }
     // If the history no longer contains all changes that the peer lacks, `after` exceeds the peer's revision, and the
     // peer reads the missing changes from the store.
-    PeerStoreEvents message{.after = std::max(peer.sentUpTo, this->historyBegin), .revision = this->revision, .removalGrace = removalGrace, .events = {}};
+    PeerStoreEvents message{
+        .after = std::max(peer.sentUpTo.revision, this->historyBegin), .position = this->position, .removalGrace = removalGrace, .events = {}};
     for (const HistoryEntry &entry : this->history) {
-        if (entry.revision > peer.sentUpTo) {
+        if (entry.revision > peer.sentUpTo.revision) {
             message.events.push_back(entry.event);
         }
     }
-    peer.sentUpTo = this->revision;
+    peer.sentUpTo = this->position;
     this->actions.emplace_back(SendStoreMessage{.peer = name, .message = std::move(message)});
 }
 
@@ -461,19 +492,19 @@
 void StoreChangeFeed::sendSnapshot(const std::string &name, Peer &peer, Instant now)
 {
     const bool sentRecently = peer.snapshotSentAt && now - *peer.snapshotSentAt < this->options.snapshotInterval;
-    if (sentRecently || this->hasGap || this->revision == 0) {
+    if (sentRecently || this->hasGap || this->position.revision == 0) {
         return;
     }
     peer.snapshotSentAt = now;
-    this->actions.emplace_back(SendStoreMessage{.peer = name, .message = PeerStoreSnapshot{.revision = this->revision, .items = this->contents.items()}});
+    this->actions.emplace_back(SendStoreMessage{.peer = name, .message = PeerStoreSnapshot{.position = this->position, .items = this->contents.items()}});
 }
 
-void StoreChangeFeed::restartHistory(StoreRevision base)
+void StoreChangeFeed::restartHistory(StorePosition base)
 {
     this->history.clear();
     this->historySize = 0;
-    this->historyBegin = base;
-    this->revision = base;
+    this->historyBegin = base.revision;
+    this->position = base;
 }
 
 void StoreChangeFeed::confirm(Instant when, Instant now)
@@ -502,11 +533,11 @@
     const auto peer = this->peers.find(name);
     this->actions.emplace_back(SendStoreMessage{.peer = name,
                                                 // The source must not use this instance as its own source.
-                                                .message = PeerStoreDigest{.revision = this->revision,
+                                                .message = PeerStoreDigest{.position = this->position,
                                                                            .distance = isSource ? STORE_UNREACHABLE : this->distance(),
                                                                            .wantsEvents = isSource,
                                                                            .confirmedAge = this->lastConfirmed ? now - *this->lastConfirmed : AGE_UNKNOWN,
-                                                                           .offersSnapshot = this->revision > 0 && !this->hasGap,
+                                                                           .offersSnapshot = this->position.revision > 0 && !this->hasGap,
                                                                            .wantsSnapshot = this->snapshotSource == name,
                                                                            .madeAtUs = now.time_since_epoch().count(),
                                                                            .echoedUs = peer == this->peers.end() ? 0 : peer->second.lastDigestUs}});
--- a/lib/Control/StoreListing.cpp
+++ b/lib/Control/StoreListing.cpp
@@ -2,7 +2,6 @@
 /// Implements the accumulation of the pages of a list.
 #include "ragwortcart/Control/StoreListing.h"
 
-#include <algorithm>
 #include <iterator>
 
 namespace ragwort {
@@ -12,6 +11,12 @@
     if (this->firstPosition == StorePosition{}) {
         this->firstPosition = page.position;
     }
+    if (page.position.epoch != this->firstPosition.epoch) {
+        return Error{.code = Errc::protocolViolation,
+                     .step = "store-range",
+                     .peer = {},
+                     .detail = "a page of another epoch, at " + toText(page.position) + " after " + toText(this->firstPosition)};
+    }
     const bool empty = page.items.empty();
     this->allItems.insert(this->allItems.end(), std::make_move_iterator(page.items.begin()), std::make_move_iterator(page.items.end()));
     if (!page.hasMore) {
@@ -26,13 +31,4 @@
     return true;
 }
 
-StoreRevision StoreListing::newestItemRevision() const
-{
-    StoreRevision newest = 0;
-    for (const StoreItem &item : this->allItems) {
-        newest = std::max(newest, item.revision);
-    }
-    return newest;
-}
-
 } // namespace ragwort
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -5,6 +5,8 @@
 #include "ragwortcart/Support/Log.h"
 #include "ragwortcart/Support/Visitor.h"
 
+#include <cassert>
+
 namespace ragwort {
 
 /// Timeout of a watch after a failure. It is short so that a request on a broken connection does not delay the detection of recovery.
@@ -54,6 +56,8 @@
                   .renewals = this->options.metrics.counter(STORE_CALLS, "kind=\"renew-lease\""),
                   .writes = this->options.metrics.counter(STORE_CALLS, "kind=\"write\""),
                   .outdatedLists = this->options.metrics.counter("ragwort_store_lists_outdated_total")})
+    , epochChanges(this->options.metrics.counter("ragwort_store_epochs_total"))
+    , epochCatchUp(this->options.metrics.histogram("ragwort_store_epoch_catch_up_seconds"))
 {
     this->registerGauges();
     this->expiryTimer.setSingleShot(true);
@@ -76,13 +80,33 @@
 
 void RouteControl::onStoreEpoch(StoreEpoch epoch)
 {
-    const StoreEpoch before = this->gauges.epoch.exchange(epoch);
-    if (epoch != before) {
+    const StoreEpoch before = std::exchange(this->statedEpoch, epoch);
+    if (epoch < before) {
         logEvent(LogLevel::warning,
-                 "store-epoch",
-                 {{.key = "epoch", .value = std::to_string(epoch)},
-                  {.key = "before", .value = std::to_string(before)},
-                  {.key = "known", .value = std::to_string(this->revision)}});
+                 "store-epoch-decreased",
+                 {{.key = "stated", .value = std::to_string(epoch)}, {.key = "before", .value = std::to_string(before)}});
+    }
+    this->changeFeed.onStoreEpoch(epoch, steadyNow());
+    this->performChangeFeedActions();
+}
+
+void RouteControl::onLaterEpoch()
+{
+    const StoreEpoch before = std::exchange(this->actedOnEpoch, this->changeFeed.latestEpoch());
+    if (this->position.revision == 0) {
+        // Nothing has been read in an earlier epoch.
+        return;
+    }
+    this->epochKnownSince = steadyNow();
+    this->epochChanges.add();
+    logEvent(LogLevel::warning,
+             "store-epoch-begun",
+             {{.key = "epoch", .value = std::to_string(this->actedOnEpoch)},
+              {.key = "before", .value = std::to_string(before)},
+              {.key = "known", .value = toText(this->position)}});
+    this->renewOwnEntry();
+    if (!this->watchSuspended && !this->changeFeed.awaitsNewEpoch(steadyNow())) {
+        this->restartReading();
     }
 }
 
@@ -101,15 +125,34 @@
     auto listing = std::make_shared<Listing>();
     listing->consistency = consistency;
     this->watchSuspended = false;
+    listing->number = this->readNumber;
     listing->requestedAt = steadyNow();
     this->listPage(listing);
 }
 
+void RouteControl::restartReading()
+{
+    ++this->readNumber;
+    this->listStore();
+}
+
+void RouteControl::continueAfter(Duration pause, std::function<void()> next)
+{
+    QTimer::singleShot(milliseconds(pause), this, [this, number = this->readNumber, next = std::move(next)] {
+        if (number == this->readNumber) {
+            next();
+        }
+    });
+}
+
 void RouteControl::listPage(const std::shared_ptr<Listing> &listing)
 {
     const bool possiblyStale = listing->consistency == ReadConsistency::possiblyStale;
     (possiblyStale ? this->storeCalls.staleLists : this->storeCalls.lists).add();
     this->options.store.readRange({}, listing->pages.lastKey(), listing->consistency, [this, listing](Result<StorePage> page) {
+        if (listing->number != this->readNumber) {
+            return;
+        }
         if (!page) {
             this->onStoreFailure(page.error(), true);
             return;
@@ -127,7 +170,14 @@
             return;
         }
         this->onStoreResponse();
-        this->applyListing(*listing);
+        if (!this->applyListing(*listing) && this->changeFeed.isBehindEpoch()) {
+            this->onStoreFailure({.code = Errc::protocolViolation,
+                                  .step = "store-range",
+                                  .peer = {},
+                                  .detail = "a list of an earlier epoch, at " + toText(listing->pages.position())},
+                                 true);
+            return;
+        }
         if (this->awaitsRelay) {
             this->awaitRelay();
         } else {
@@ -154,7 +204,7 @@
     } else {
         ++this->listsWithoutRelay;
         this->awaitRelayUntil = now + START_LIST_INTERVAL + RELAY_WAIT;
-        QTimer::singleShot(milliseconds(START_LIST_INTERVAL), this, [this] {
+        this->continueAfter(START_LIST_INTERVAL, [this] {
             if (this->watchSuspended && !this->changeFeed.followsPeer() && !this->leaving) {
                 this->listStore(ReadConsistency::possiblyStale);
             }
@@ -163,33 +213,38 @@
     this->performChangeFeedActions();
 }
 
-void RouteControl::applyListing(const Listing &listing)
+bool RouteControl::applyListing(const Listing &listing)
 {
     const std::span<const StoreItem> items = listing.pages.items();
-    const StoreRevision listRevision = listing.pages.position().revision;
     const bool possiblyStale = listing.consistency == ReadConsistency::possiblyStale;
+    const StorePosition listPosition = listing.pages.position();
     const Instant asOf = possiblyStale ? listing.requestedAt - STALE_LIST_AGE : listing.requestedAt;
-    if (!this->changeFeed.onListed(items, listRevision, asOf, steadyNow())) {
+    if (!this->changeFeed.onListed(items, listPosition, asOf, steadyNow())) {
         this->storeCalls.outdatedLists.add();
         logEvent(LogLevel::warning,
                  "store-list-outdated",
-                 {{.key = "position", .value = toText(listing.pages.position())},
-                  {.key = "known", .value = std::to_string(this->revision)},
+                 {{.key = "position", .value = toText(listPosition)},
+                  {.key = "known", .value = toText(this->position)},
                   {.key = "asked_ms_ago", .value = std::to_string(toMs(steadyNow() - listing.requestedAt))}});
-        return;
+        return false;
     }
     logEvent(LogLevel::info,
              "store-listed",
-             {{.key = "position", .value = toText(listing.pages.position())},
-              {.key = "newest_item", .value = std::to_string(listing.pages.newestItemRevision())},
+             {{.key = "position", .value = toText(listPosition)},
               {.key = "items", .value = std::to_string(items.size())},
               {.key = "consistency", .value = possiblyStale ? "stale" : "latest"}});
-    this->replaceState(items, listRevision);
+    this->replaceState(items, listPosition);
     this->performChangeFeedActions();
+    return true;
 }
 
-void RouteControl::replaceState(std::span<const StoreItem> items, StoreRevision itemsRevision)
+void RouteControl::replaceState(std::span<const StoreItem> items, StorePosition itemsPosition)
 {
+    const bool beginsEpoch = this->position.revision > 0 && itemsPosition.epoch > this->position.epoch;
+    if (beginsEpoch) {
+        // Servers that are missing may have to write their entries again.
+        this->registry.onStoreRecovered(steadyNow());
+    }
     const std::set<std::string> previouslyOutOfService = std::exchange(this->domainsOutOfService, {});
     ListedItems listed;
     for (const StoreItem &item : items) {
@@ -203,10 +258,19 @@
             this->registry.setDomainOut(domain, false);
         }
     }
-    this->revision = itemsRevision;
+    const StorePosition before = std::exchange(this->position, itemsPosition);
     this->rebuild();
     this->scheduleExpiry();
     this->updateDesiredPeers();
+    if (beginsEpoch) {
+        const Duration catchUp = steadyNow() - this->epochKnownSince;
+        this->epochCatchUp.record(catchUp);
+        logEvent(LogLevel::info,
+                 "store-epoch-applied",
+                 {{.key = "position", .value = toText(this->position)},
+                  {.key = "before", .value = toText(before)},
+                  {.key = "known_ms_ago", .value = std::to_string(toMs(catchUp))}});
+    }
 }
 
 void RouteControl::watch()
@@ -224,10 +288,13 @@
         return;
     }
     this->watchSuspended = false;
+    if (this->changeFeed.isBehindEpoch()) {
+        this->listStore();
+        return;
+    }
     this->storeCalls.watches.add();
-    const PendingWatch pending{.requestedAt = steadyNow(), .wait = this->nextWatchWait()};
-    this->options.store.watch(
-        {}, {.revision = this->revision}, pending.wait, [this, pending](const Result<StoreEvents> &events) { this->onEvents(pending, events); });
+    const PendingWatch pending{.number = this->readNumber, .requestedAt = steadyNow(), .wait = this->nextWatchWait()};
+    this->options.store.watch({}, this->position, pending.wait, [this, pending](const Result<StoreEvents> &events) { this->onEvents(pending, events); });
 }
 
 Duration RouteControl::nextWatchWait() const
@@ -253,39 +320,49 @@
 
 void RouteControl::onEvents(const PendingWatch &answered, const Result<StoreEvents> &result)
 {
+    if (answered.number != this->readNumber) {
+        return;
+    }
     if (!result) {
         this->onStoreFailure(result.error(), result.error().code == Errc::historyGone);
         return;
     }
     this->onStoreResponse();
-    if (result->position.revision < this->revision) {
+    if (result->position < this->position) {
         logEvent(LogLevel::warning,
-                 "store-revision-decreased",
+                 "store-position-decreased",
                  {{.key = "position", .value = toText(result->position)},
-                  {.key = "known", .value = std::to_string(this->revision)},
+                  {.key = "known", .value = toText(this->position)},
                   {.key = "events", .value = std::to_string(result->events.size())}});
     }
+    if (result->position.epoch != this->position.epoch) {
+        // The answer holds the changes after a revision that means another one in its epoch.
+        this->onStoreFailure(
+            {.code = Errc::protocolViolation, .step = "store-watch", .peer = {}, .detail = "an answer of another epoch, at " + toText(result->position)}, true);
+        return;
+    }
     const Instant now = steadyNow();
     const Instant coveredUntil = watchCoversUntil(answered.requestedAt, answered.wait, *result);
-    this->changeFeed.onStoreEvents(result->events, result->position.revision, this->registry.remainingRemovalGrace(now), coveredUntil, now);
-    this->applyEvents(result->events, result->position.revision);
+    this->changeFeed.onStoreEvents(result->events, result->position, this->registry.remainingRemovalGrace(now), coveredUntil, now);
+    this->applyEvents(result->events, result->position);
     this->performChangeFeedActions();
     // Only a few instances are relays, so a relay uses the minimum pause.
     const int watcherCount = this->changeFeed.isRelay() ? 1 : this->registry.liveInstances();
     const Duration eventPause = std::clamp(EVENT_PAUSE_PER_INSTANCE * watcherCount, MINIMUM_EVENT_PAUSE, MAXIMUM_EVENT_PAUSE);
     const Duration pause = result->events.empty() ? Duration::zero() : eventPause;
-    QTimer::singleShot(milliseconds(pause), this, [this] { this->watch(); });
+    this->continueAfter(pause, [this] { this->watch(); });
 }
 
-void RouteControl::applyEvents(std::span<const StoreEvent> events, StoreRevision upTo)
+void RouteControl::applyEvents(std::span<const StoreEvent> events, StorePosition upTo)
 {
+    assert(upTo.epoch == this->position.epoch && "changes of another epoch do not follow the contents");
     for (const StoreEvent &event : events) {
         const StoreRevision changed = std::visit([](const auto &typed) { return typed.revision; }, event);
-        if (changed > this->revision) {
+        if (changed > this->position.revision) {
             this->applyEvent(event);
         }
     }
-    this->revision = std::max(this->revision, upTo);
+    this->position = std::max(this->position, upTo);
     if (this->rebuildNeeded) {
         this->rebuild();
     }
@@ -445,8 +522,8 @@
     // A store that has compacted its history is reachable, so the listing starts without delay.
     const bool storeResponds = error.code == Errc::historyGone && this->consecutiveFailures == 1;
     const Duration pause = storeResponds ? Duration::zero() : std::min(INITIAL_RETRY_DELAY * this->consecutiveFailures, MAXIMUM_RETRY_DELAY);
-    const bool listAgain = relist || this->revision == 0;
-    QTimer::singleShot(milliseconds(pause), this, [this, listAgain] {
+    const bool listAgain = relist || this->position.revision == 0;
+    this->continueAfter(pause, [this, listAgain] {
         if (listAgain) {
             this->listStore();
         } else {
--- a/lib/Runtime/RouteControlEntry.cpp
+++ b/lib/Runtime/RouteControlEntry.cpp
@@ -2,6 +2,7 @@
 /// Implements the route control thread's own entry in the metadata store and the lease that keeps it.
 #include "ragwortcart/Runtime/RouteControl.h"
 
+#include "ragwortcart/Support/Hash.h"
 #include "ragwortcart/Support/Log.h"
 
 namespace ragwort {
@@ -10,6 +11,9 @@
 static constexpr std::chrono::milliseconds LEASE_TTL = std::chrono::seconds(30);
 static constexpr std::chrono::milliseconds LEASE_RENEWAL_INTERVAL = std::chrono::seconds(9);
 static constexpr std::chrono::milliseconds LEASE_RETRY_DELAY = std::chrono::seconds(1);
+/// Time per instance over which the instances write their entries again, so that the store is not asked by all at once.
+static constexpr Duration OWN_ENTRY_SPREAD_PER_INSTANCE = std::chrono::milliseconds(2);
+static constexpr int SPREAD_STEPS = 1000;
 
 void RouteControl::grantLease()
 {
@@ -22,6 +26,11 @@
             QTimer::singleShot(LEASE_RETRY_DELAY, this, [this] { this->grantLease(); });
             return;
         }
+        if (granted->epoch < this->actedOnEpoch) {
+            // A later epoch has begun meanwhile, which has lost this lease.
+            this->grantLease();
+            return;
+        }
         this->lease = granted->id;
         this->publishInstanceEntry();
     });
@@ -49,6 +58,23 @@
         });
 }
 
+void RouteControl::renewOwnEntry()
+{
+    if (this->lease == 0) {
+        // A lease is being granted.
+        return;
+    }
+    // The number of the lost lease may be given out again, to another instance: it is neither renewed nor ended.
+    this->lease = 0;
+    const Duration spread = OWN_ENTRY_SPREAD_PER_INSTANCE * this->registry.liveInstances();
+    const Duration delay = spread * static_cast<int>(stableHash(this->options.instance) % SPREAD_STEPS) / SPREAD_STEPS;
+    QTimer::singleShot(static_cast<int>(toMs(delay)), this, [this] {
+        if (this->lease == 0) {
+            this->grantLease();
+        }
+    });
+}
+
 void RouteControl::renewLease()
 {
     if (this->leaving) {
--- a/lib/Runtime/RouteControlPeers.cpp
+++ b/lib/Runtime/RouteControlPeers.cpp
@@ -225,12 +225,12 @@
     logEvent(LogLevel::info,
              "store-snapshot-applied",
              {{.key = "peer", .value = snapshot.peer},
-              {.key = "revision", .value = std::to_string(snapshot.revision)},
-              {.key = "known", .value = std::to_string(this->revision)},
+              {.key = "position", .value = toText(snapshot.position)},
+              {.key = "known", .value = toText(this->position)},
               {.key = "items", .value = std::to_string(snapshot.items.size())}});
     // Ends the outage of the store first: missing servers may only have lapsed during it.
     this->onStoreResponse();
-    this->replaceState(snapshot.items, snapshot.revision);
+    this->replaceState(snapshot.items, snapshot.position);
 }
 
 void RouteControl::perform(const ReportMissingChanges &missing)
@@ -260,17 +260,21 @@
         logEvent(LogLevel::info,
                  "store-followed",
                  {{.key = "through", .value = source.empty() ? "itself" : source},
-                  {.key = "revision", .value = std::to_string(this->revision)},
+                  {.key = "position", .value = toText(this->position)},
                   {.key = "confirmed_ms_ago", .value = std::to_string(toMs(steadyNow() - this->changeFeed.confirmedAt().value_or(steadyNow())))}});
     }
     this->updateGauges();
-    if (this->watchSuspended && !this->changeFeed.followsPeer() && steadyNow() >= this->awaitRelayUntil) {
+    if (this->changeFeed.latestEpoch() > this->actedOnEpoch) {
+        this->onLaterEpoch();
+    }
+    const bool awaitsPeer = this->changeFeed.followsPeer() || this->changeFeed.awaitsNewEpoch(steadyNow());
+    if (this->watchSuspended && !awaitsPeer && steadyNow() >= this->awaitRelayUntil) {
         this->watchSuspended = false;
         if (this->changeFeed.isUnconfirmed()) {
             logEvent(LogLevel::info,
                      "knowledge-unconfirmed",
                      {{.key = "through", .value = source.empty() ? "itself" : source},
-                      {.key = "revision", .value = std::to_string(this->revision)},
+                      {.key = "position", .value = toText(this->position)},
                       {.key = "confirmed_ms_ago", .value = std::to_string(toMs(steadyNow() - this->changeFeed.confirmedAt().value_or(steadyNow())))}});
         }
         this->watch();
@@ -293,7 +297,8 @@
 void RouteControl::updateGauges()
 {
     this->gauges.routesVersion.store(this->routes ? this->routes->version : 0);
-    this->gauges.revision.store(this->revision);
+    this->gauges.revision.store(this->position.revision);
+    this->gauges.epoch.store(this->position.epoch);
     this->gauges.distance.store(this->changeFeed.distance());
     if (const std::optional<Instant> confirmedAt = this->changeFeed.confirmedAt()) {
         this->gauges.confirmedAtUs.store(confirmedAt->time_since_epoch().count());
--- a/lib/Wire/PeerCodec.cpp
+++ b/lib/Wire/PeerCodec.cpp
@@ -29,10 +29,15 @@
     crashNews = 16
 };
 
+// The epoch of the store is the last field of messages about its contents, and is left out while it is 0. Instances that know no epochs refuse
+// messages of a later one for their number of fields.
+
 /// The fields are type, base revision, last revision, removal grace and events.
 static constexpr qsizetype STORE_EVENTS_FIELDS = 5;
 /// The fields are type, revision and items.
 static constexpr qsizetype STORE_SNAPSHOT_FIELDS = 3;
+/// The fields are type, revision, distance, subscription, age, both of the snapshot, and both times.
+static constexpr qsizetype STORE_DIGEST_FIELDS = 9;
 /// The fields are type, crashes and responses.
 static constexpr qsizetype CRASH_NEWS_FIELDS = 3;
 
@@ -140,10 +145,23 @@
     return array;
 }
 
+static void appendEpoch(QCborArray &array, StoreEpoch epoch)
+{
+    if (epoch != 0) {
+        array.append(number(epoch));
+    }
+}
+
+/// Returns whether a message has \p fields fields, and perhaps an epoch behind them.
+static bool hasFields(const QCborArray &array, qsizetype fields)
+{
+    return array.size() == fields || (array.size() == fields + 1 && array.at(fields).isInteger());
+}
+
 static QCborArray encode(const PeerStoreDigest &digest)
 {
     QCborArray array = beginMessage(PeerType::storeDigest);
-    array.append(number(digest.revision));
+    array.append(number(digest.position.revision));
     array.append(digest.distance);
     array.append(digest.wantsEvents);
     array.append(static_cast<qint64>(digest.confirmedAge.count()));
@@ -151,6 +169,7 @@
     array.append(digest.wantsSnapshot);
     array.append(static_cast<qint64>(digest.madeAtUs));
     array.append(static_cast<qint64>(digest.echoedUs));
+    appendEpoch(array, digest.position.epoch);
     return array;
 }
 
@@ -170,25 +189,27 @@
 {
     QCborArray array = beginMessage(PeerType::storeEvents);
     array.append(number(message.after));
-    array.append(number(message.revision));
+    array.append(number(message.position.revision));
     array.append(static_cast<qint64>(message.removalGrace.count()));
     QCborArray events;
     for (const StoreEvent &event : message.events) {
         events.append(encodeEvent(event));
     }
     array.append(events);
+    appendEpoch(array, message.position.epoch);
     return array;
 }
 
 static QCborArray encode(const PeerStoreSnapshot &message)
 {
     QCborArray array = beginMessage(PeerType::storeSnapshot);
-    array.append(number(message.revision));
+    array.append(number(message.position.revision));
     QCborArray items;
     for (const StoreItem &item : message.items) {
         items.append(encodeEvent(item));
     }
     array.append(items);
+    appendEpoch(array, message.position.epoch);
     return array;
 }
 
@@ -299,7 +320,10 @@
 
 static PeerStoreEvents decodeStoreEvents(const QCborArray &array)
 {
-    PeerStoreEvents message{.after = numberOf(array.at(1)), .revision = numberOf(array.at(2)), .removalGrace = Duration(array.at(3).toInteger()), .events = {}};
+    PeerStoreEvents message{.after = numberOf(array.at(1)),
+                            .position = {.epoch = numberOf(array.at(STORE_EVENTS_FIELDS)), .revision = numberOf(array.at(2))},
+                            .removalGrace = Duration(array.at(3).toInteger()),
+                            .events = {}};
     const QCborArray events = array.at(4).toArray();
     for (const QCborValue &event : events) {
         message.events.push_back(decodeEvent(event.toArray()));
@@ -309,7 +333,7 @@
 
 static PeerStoreSnapshot decodeStoreSnapshot(const QCborArray &array)
 {
-    PeerStoreSnapshot message{.revision = numberOf(array.at(1)), .items = {}};
+    PeerStoreSnapshot message{.position = {.epoch = numberOf(array.at(STORE_SNAPSHOT_FIELDS)), .revision = numberOf(array.at(1))}, .items = {}};
     const QCborArray items = array.at(2).toArray();
     for (const QCborValue &item : items) {
         message.items.push_back(decodeItem(item.toArray()));
@@ -396,7 +420,7 @@
                                       .cold = array.at(4).toBool()});
     case PeerType::storeDigest:
         // Earlier versions send the first three fields only.
-        return PeerMessage(PeerStoreDigest{.revision = numberOf(array.at(1)),
+        return PeerMessage(PeerStoreDigest{.position = {.epoch = numberOf(array.at(STORE_DIGEST_FIELDS)), .revision = numberOf(array.at(1))},
                                            .distance = static_cast<int>(array.at(2).toInteger(STORE_UNREACHABLE)),
                                            .wantsEvents = array.at(3).toBool(),
                                            .confirmedAge = Duration(array.at(4).toInteger(AGE_UNKNOWN.count())),
@@ -406,13 +430,13 @@
                                            .echoedUs = array.at(8).toInteger()});
     case PeerType::storeEvents:
         // A truncated message must not be mistaken for one without events, which states that no key has changed.
-        if (array.size() != STORE_EVENTS_FIELDS || !array.at(4).isArray()) {
+        if (!hasFields(array, STORE_EVENTS_FIELDS) || !array.at(4).isArray()) {
             return malformed("store events message has a wrong number of fields or no list of events");
         }
         return PeerMessage(decodeStoreEvents(array));
     case PeerType::storeSnapshot:
         // A truncated message must not be mistaken for a store without items.
-        if (array.size() != STORE_SNAPSHOT_FIELDS || !array.at(2).isArray()) {
+        if (!hasFields(array, STORE_SNAPSHOT_FIELDS) || !array.at(2).isArray()) {
             return malformed("store snapshot message has a wrong number of fields or no list of items");
         }
         return PeerMessage(decodeStoreSnapshot(array));
--- a/unittests/Control/StoreChangeFeedTest.cpp
+++ b/unittests/Control/StoreChangeFeedTest.cpp
@@ -45,8 +45,9 @@
     std::vector<std::string> applied;
     /// When the store last began to reply to this instance again.
     Instant lastFault{};
-    StoreRevision revision = 0;
+    StorePosition position;
     int storeCalls = 0;
+    int lists = 0;
     /// The store does not reply to this instance, which detects that at once.
     bool storeUnavailable = false;
     /// The store does not reply to this instance since this time, which it detects only later.
@@ -87,11 +88,25 @@
 
     void list(FeedHarness &harness)
     {
+        harness.applied.clear();
         for (const StoreItem &item : this->store) {
             harness.applied.push_back(item.key);
         }
-        harness.revision = this->storeRevision();
-        EXPECT_TRUE(harness.feed->onListed(this->store, harness.revision, this->now, this->now));
+        ++harness.lists;
+        harness.position = this->storePosition();
+        EXPECT_TRUE(harness.feed->onListed(this->store, harness.position, this->now, this->now));
+    }
+
+    StorePosition storePosition() const
+    {
+        return {.epoch = this->epoch, .revision = this->storeRevision()};
+    }
+
+    /// The store comes back from a copy that lacks its last changes, and gives out their revisions again.
+    void restoreOlderCopy(std::size_t lostChanges)
+    {
+        this->store.resize(this->store.size() - std::min(lostChanges, this->store.size()));
+        ++this->epoch;
     }
 
     StoreRevision storeRevision() const
@@ -177,15 +192,16 @@
                                for (const StoreEvent &event : relayed.events) {
                                    this->apply(harness, std::get<StoreItem>(event));
                                }
-                               harness.revision = std::max(harness.revision, relayed.upTo);
+                               EXPECT_EQ(relayed.upTo.epoch, harness.position.epoch) << "changes of another epoch";
+                               harness.position = std::max(harness.position, relayed.upTo);
                            },
                            [&harness](const ApplyRelayedSnapshot &snapshot) {
-                               EXPECT_GE(snapshot.revision, harness.revision) << "a snapshot must not go back";
+                               EXPECT_GE(snapshot.position, harness.position) << "a snapshot must not go back";
                                harness.applied.clear();
                                for (const StoreItem &item : snapshot.items) {
                                    harness.applied.push_back(item.key);
                                }
-                               harness.revision = snapshot.revision;
+                               harness.position = snapshot.position;
                            },
                            [](const ReportMissingChanges &) {}},
                    action);
@@ -217,13 +233,13 @@
 
     static void apply(FeedHarness &harness, const StoreItem &item)
     {
-        EXPECT_GT(item.revision, harness.revision) << "change delivered twice or out of order";
+        EXPECT_GT(item.revision, harness.position.revision) << "change delivered twice or out of order";
         harness.applied.push_back(item.key);
     }
 
     void watch(FeedHarness &harness)
     {
-        if (harness.feed->followsPeer()) {
+        if (harness.feed->followsPeer() || harness.feed->awaitsNewEpoch(this->now)) {
             harness.feed->onWatchSuspended(this->now);
             return;
         }
@@ -236,15 +252,22 @@
             harness.feed->onStoreUnavailable(this->now);
             return;
         }
+        harness.feed->onStoreEpoch(this->epoch, this->now);
+        if (harness.feed->isBehindEpoch()) {
+            if (!harness.feed->awaitsNewEpoch(this->now)) {
+                this->list(harness);
+            }
+            return;
+        }
         std::vector<StoreEvent> events;
         for (const StoreItem &item : this->store) {
-            if (item.revision > harness.revision) {
+            if (item.revision > harness.position.revision) {
                 apply(harness, item);
                 events.emplace_back(item);
             }
         }
-        harness.revision = this->storeRevision();
-        harness.feed->onStoreEvents(events, harness.revision, Duration::zero(), this->now, this->now);
+        harness.position = this->storePosition();
+        harness.feed->onStoreEvents(events, harness.position, Duration::zero(), this->now, this->now);
     }
 
     void run(Duration time)
@@ -299,7 +322,7 @@
     Duration oldestMissing(const FeedHarness &harness) const
     {
         const auto missing
-            = std::find_if(this->store.rbegin(), this->store.rend(), [&harness](const StoreItem &item) { return item.revision <= harness.revision; });
+            = std::find_if(this->store.rbegin(), this->store.rend(), [&harness](const StoreItem &item) { return item.revision <= harness.position.revision; });
         return missing == this->store.rbegin() ? Duration::zero() : this->now - this->writtenAt.at(std::prev(missing)->key);
     }
 
@@ -327,10 +350,12 @@
     {
         for (auto &[name, harness] : this->harnesses) {
             harness.storeCalls = 0;
+            harness.lists = 0;
         }
     }
 
     Instant now{std::chrono::seconds(100)};
+    StoreEpoch epoch = 1;
     std::map<std::string, FeedHarness> harnesses;
     std::map<std::string, InstanceItem> instanceItems;
     std::vector<StoreItem> store;
@@ -587,7 +612,7 @@
     this->addDomain("a", 4);
     this->run(milliseconds(1000));
     const auto follower = std::find_if(this->harnesses.begin(), this->harnesses.end(), [](const auto &entry) { return !entry.second.feed->isRelay(); });
-    const StoreRevision listed = this->storeRevision();
+    const StorePosition listed = this->storePosition();
     this->write("k1");
     this->run(milliseconds(200));
     EXPECT_FALSE(follower->second.feed->onListed({}, listed, this->now, this->now));
@@ -597,6 +622,117 @@
     this->expectAllApplied("k2");
 }
 
+/// Guards against a store that comes back from an older copy and whose changes no instance learns any more: the list was taken for an outdated one
+/// because its revision was lower than what had been known.
+TEST_F(StoreChangeFeedTest, aStoreFromAnOlderCopyIsFollowedThoughItsRevisionsGoBack)
+{
+    this->addDomain("a", 5);
+    this->addDomain("b", 2);
+    for (int index = 0; index < 10; ++index) {
+        this->write("k" + std::to_string(index));
+    }
+    this->run(milliseconds(2000));
+    this->restoreOlderCopy(6);
+    this->run(milliseconds(1000));
+    this->write("later");
+    this->run(milliseconds(200));
+    this->expectAllApplied("later");
+    this->expectAllApplied("k3");
+    for (const auto &[name, harness] : this->harnesses) {
+        EXPECT_EQ(std::count(harness.applied.begin(), harness.applied.end(), "k4"), 0) << name << " keeps a change that the store has lost";
+        EXPECT_EQ(harness.position, this->storePosition()) << name;
+    }
+}
+
+/// Guards against a change of the restored store that is never learned because it got a revision that an instance had seen before: the restored
+/// store is soon beyond the last known revision, so that a watch from there is answered without that change.
+TEST_F(StoreChangeFeedTest, aChangeWithARevisionThatIsGivenOutAgainIsLearned)
+{
+    this->addDomain("a", 5);
+    this->addDomain("b", 2);
+    for (int index = 0; index < 10; ++index) {
+        this->write("k" + std::to_string(index));
+    }
+    this->run(milliseconds(2000));
+    this->restoreOlderCopy(3);
+    this->write("again");
+    for (int index = 0; index < 5; ++index) {
+        this->write("n" + std::to_string(index));
+    }
+    this->run(milliseconds(1000));
+    this->expectAllApplied("again");
+    this->expectAllApplied("n4");
+}
+
+/// Guards against a fleet that lists the store all at once after its return: the relays do, and pass its contents on.
+TEST_F(StoreChangeFeedTest, onlyRelaysListAStoreFromAnOlderCopy)
+{
+    this->addDomain("a", 60);
+    for (int index = 0; index < 10; ++index) {
+        this->write("k" + std::to_string(index));
+    }
+    this->run(milliseconds(2000));
+    this->resetCallCounts();
+    this->restoreOlderCopy(3);
+    this->write("again");
+    this->run(milliseconds(2000));
+    this->expectAllApplied("again");
+    for (const auto &[name, harness] : this->harnesses) {
+        EXPECT_LE(harness.lists, harness.feed->isRelay() ? 2 : 0) << name;
+    }
+}
+
+/// An instance that the store refuses is taken along into the new epoch by its peers.
+TEST_F(StoreChangeFeedTest, anInstanceThatTheStoreRefusesLearnsTheNewEpochFromPeers)
+{
+    this->addDomain("a", 4);
+    this->addDomain("b", 4);
+    for (int index = 0; index < 10; ++index) {
+        this->write("k" + std::to_string(index));
+    }
+    this->run(milliseconds(2000));
+    for (auto &[name, harness] : this->harnesses) {
+        harness.storeUnavailable = this->instanceItems.at(name).domain == "a";
+    }
+    this->run(milliseconds(1000));
+    this->restoreOlderCopy(6);
+    this->write("again");
+    this->run(milliseconds(3000));
+    this->expectAllApplied("again");
+    this->write("later");
+    this->run(milliseconds(300));
+    this->expectAllApplied("later");
+}
+
+/// Guards against an answer of an earlier epoch that arrives late, from the store or from a peer, and takes the contents back.
+TEST(StoreChangeFeedEpochTest, ignoresWhatIsOfAnEarlierEpoch)
+{
+    const Instant now{std::chrono::seconds(100)};
+    StoreChangeFeed feed({.instance = "a0", .domain = "a"});
+    ASSERT_TRUE(feed.onListed({}, {.epoch = 2, .revision = 50}, now, now));
+    EXPECT_FALSE(feed.onListed({}, {.epoch = 1, .revision = 90}, now, now));
+    feed.onLinkUp("a1", now);
+    feed.onDigest("a1", {.position = {.epoch = 1, .revision = 90}, .distance = 0, .offersSnapshot = true}, now);
+    EXPECT_EQ(feed.sourcePeer(), std::nullopt);
+    feed.onSnapshot("a1", {.position = {.epoch = 1, .revision = 90}, .items = {}}, now);
+    static_cast<void>(feed.takeActions());
+    EXPECT_FALSE(feed.isBehindEpoch());
+    EXPECT_EQ(feed.latestEpoch(), 2U);
+}
+
+/// An epoch may be missed while an instance is cut off.
+TEST(StoreChangeFeedEpochTest, anEpochThatJumpsReplacesTheContents)
+{
+    const Instant now{std::chrono::seconds(100)};
+    StoreChangeFeed feed({.instance = "a0", .domain = "a"});
+    ASSERT_TRUE(feed.onListed({}, {.epoch = 2, .revision = 50}, now, now));
+    feed.onStoreEpoch(7, now);
+    EXPECT_TRUE(feed.isBehindEpoch());
+    EXPECT_FALSE(feed.onListed({}, {.epoch = 2, .revision = 60}, now, now)) << "a list that was asked for before";
+    EXPECT_TRUE(feed.onListed({}, {.epoch = 7, .revision = 10}, now, now));
+    EXPECT_FALSE(feed.isBehindEpoch());
+}
+
 TEST_F(StoreChangeFeedTest, replacesALeavingRelayImmediately)
 {
     this->addDomain("a", 4);
--- a/unittests/Wire/PeerCodecTest.cpp
+++ b/unittests/Wire/PeerCodecTest.cpp
@@ -44,24 +44,25 @@
 TEST(PeerCodecTest, storeEventsKeepOrderAndType)
 {
     const PeerStoreEvents sent{.after = 7,
-                               .revision = 12,
+                               .position = {.epoch = 3, .revision = 12},
                                .removalGrace = std::chrono::milliseconds(1500),
                                .events = {StoreItem{.key = "k1", .value = QByteArray("a\0b", 3), .revision = 9}, StoreDeletion{.key = "k2", .revision = 12}}};
     const Result<PeerMessage> decoded = decodePeerMessage(encodePeerMessage(sent), "peer");
     ASSERT_TRUE(decoded);
     const auto &read = std::get<PeerStoreEvents>(*decoded);
     EXPECT_EQ(read.after, 7U);
-    EXPECT_EQ(read.revision, 12U);
+    EXPECT_EQ(read.position, (StorePosition{.epoch = 3, .revision = 12}));
     EXPECT_EQ(read.removalGrace, sent.removalGrace);
     ASSERT_EQ(read.events.size(), 2U);
     EXPECT_EQ(std::get<StoreItem>(read.events[0]).value, QByteArray("a\0b", 3));
     EXPECT_EQ(std::get<StoreDeletion>(read.events[1]).key, "k2");
 
     const Result<PeerMessage> digest = decodePeerMessage(
-        encodePeerMessage(PeerStoreDigest{.revision = 12, .distance = 1, .wantsEvents = true, .confirmedAge = Duration(700), .madeAtUs = 5, .echoedUs = 6}),
+        encodePeerMessage(PeerStoreDigest{
+            .position = {.epoch = 3, .revision = 12}, .distance = 1, .wantsEvents = true, .confirmedAge = Duration(700), .madeAtUs = 5, .echoedUs = 6}),
         "peer");
     ASSERT_TRUE(digest);
-    EXPECT_EQ(std::get<PeerStoreDigest>(*digest).revision, 12U);
+    EXPECT_EQ(std::get<PeerStoreDigest>(*digest).position, (StorePosition{.epoch = 3, .revision = 12}));
     EXPECT_EQ(std::get<PeerStoreDigest>(*digest).distance, 1);
     EXPECT_TRUE(std::get<PeerStoreDigest>(*digest).wantsEvents);
     EXPECT_EQ(std::get<PeerStoreDigest>(*digest).confirmedAge, Duration(700));
@@ -74,18 +75,30 @@
     // [8, 12, 0, true], as sent by versions that know no age.
     const Result<PeerMessage> digest = decodePeerMessage(std::string("\x84\x08\x0c\x00\xf5", 5), "peer");
     ASSERT_TRUE(digest);
-    EXPECT_EQ(std::get<PeerStoreDigest>(*digest).revision, 12U);
+    EXPECT_EQ(std::get<PeerStoreDigest>(*digest).position, (StorePosition{.epoch = 0, .revision = 12}));
     EXPECT_EQ(std::get<PeerStoreDigest>(*digest).confirmedAge, AGE_UNKNOWN);
 }
 
+/// Instances that know no epochs accept only messages with their own number of fields: those of a store that has not been restored.
+TEST(PeerCodecTest, messagesOfALaterEpochHaveOneFieldMore)
+{
+    const auto fields = [](const PeerMessage &message) { return static_cast<unsigned char>(encodePeerMessage(message).front()) & 0x1FU; };
+    EXPECT_EQ(fields(PeerStoreEvents{.after = 7, .position = {.epoch = 0, .revision = 12}, .removalGrace = {}, .events = {}}), 5U);
+    EXPECT_EQ(fields(PeerStoreEvents{.after = 7, .position = {.epoch = 1, .revision = 12}, .removalGrace = {}, .events = {}}), 6U);
+    EXPECT_EQ(fields(PeerStoreSnapshot{.position = {.epoch = 0, .revision = 12}, .items = {}}), 3U);
+    EXPECT_EQ(fields(PeerStoreSnapshot{.position = {.epoch = 1, .revision = 12}, .items = {}}), 4U);
+    // [9, 7, 12, 0, [], "x"]: an epoch that is no number.
+    EXPECT_FALSE(decodePeerMessage(std::string("\x86\x09\x07\x0c\x00\x80\x61x", 8), "peer"));
+}
+
 TEST(PeerCodecTest, preservesStoreSnapshots)
 {
-    const PeerStoreSnapshot sent{.revision = 12,
+    const PeerStoreSnapshot sent{.position = {.epoch = 3, .revision = 12},
                                  .items = {{.key = "k1", .value = QByteArray("a\0b", 3), .revision = 9}, {.key = "k2", .value = {}, .revision = 12}}};
     const Result<PeerMessage> decoded = decodePeerMessage(encodePeerMessage(sent), "peer");
     ASSERT_TRUE(decoded);
     const auto &read = std::get<PeerStoreSnapshot>(*decoded);
-    EXPECT_EQ(read.revision, 12U);
+    EXPECT_EQ(read.position, (StorePosition{.epoch = 3, .revision = 12}));
     ASSERT_EQ(read.items.size(), 2U);
     EXPECT_EQ(read.items[0].key, "k1");
     EXPECT_EQ(read.items[0].value, QByteArray("a\0b", 3));
@@ -98,12 +111,12 @@
 {
     for (const std::string &key :
          {std::string("a&b+c#d%41 e;\"\\"), std::string("\r\n\x01\x7f"), std::string("a\0b", 3), std::string("é ドラム \uFFFD"), std::string()}) {
-        const PeerStoreSnapshot snapshot{.revision = 12, .items = {{.key = key, .value = "v", .revision = 9}}};
+        const PeerStoreSnapshot snapshot{.position = {.revision = 12}, .items = {{.key = key, .value = "v", .revision = 9}}};
         const Result<PeerMessage> readSnapshot = decodePeerMessage(encodePeerMessage(snapshot), "peer");
         ASSERT_TRUE(readSnapshot);
         EXPECT_EQ(std::get<PeerStoreSnapshot>(*readSnapshot).items.at(0).key, key);
         const PeerStoreEvents events{.after = 1,
-                                     .revision = 3,
+                                     .position = {.revision = 3},
                                      .removalGrace = {},
                                      .events = {StoreItem{.key = key, .value = "v", .revision = 2}, StoreDeletion{.key = key, .revision = 3}}};
         const Result<PeerMessage> readEvents = decodePeerMessage(encodePeerMessage(events), "peer");
