First start: a list that may be stale proves no more than its own items

A list that may be seconds old was followed by a watch from the revision that its answer names. Such a list now counts up to the lowest of its pages' latest items: the copy that a page was read from held at least that. The watch, or a relay, then returns the rest. A list also ends with an error if its pages are of two epochs.

--- a/include/ragwortcart/Control/StoreListing.h
+++ b/include/ragwortcart/Control/StoreListing.h
@@ -8,6 +8,7 @@
 
 #include "ragwortcart/Control/MetadataStore.h"
 
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -38,10 +39,16 @@
     {
         return this->firstPosition;
     }
+    /// Returns a position up to which the items contain all changes, whatever the pages were read from: a page may come from an older copy than
+    /// the position that it names, but at least from one that held its latest item. A watch from there returns what is missing. Only valid
+    /// after the first page.
+    StorePosition provenPosition() const;
 
 private:
     std::vector<StoreItem> allItems;
     StorePosition firstPosition;
+    /// The lowest among the revisions of the latest item of each page.
+    std::optional<StoreRevision> leastPageRevision;
     /// The last key of each page that had more behind it. No order of keys is assumed.
     std::set<std::string> pageEnds;
 };
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -217,7 +217,7 @@
 {
     const std::span<const StoreItem> items = listing.pages.items();
     const bool possiblyStale = listing.consistency == ReadConsistency::possiblyStale;
-    const StorePosition listPosition = listing.pages.position();
+    const StorePosition listPosition = possiblyStale ? listing.pages.provenPosition() : listing.pages.position();
     const Instant asOf = possiblyStale ? listing.requestedAt - STALE_LIST_AGE : listing.requestedAt;
     if (!this->changeFeed.onListed(items, listPosition, asOf, steadyNow())) {
         this->storeCalls.outdatedLists.add();
@@ -231,6 +231,7 @@
     logEvent(LogLevel::info,
              "store-listed",
              {{.key = "position", .value = toText(listPosition)},
+              {.key = "proven", .value = toText(listing.pages.provenPosition())},
               {.key = "items", .value = std::to_string(items.size())},
               {.key = "consistency", .value = possiblyStale ? "stale" : "latest"}});
     this->replaceState(items, listPosition);
--- a/unittests/Control/StoreListingTest.cpp
+++ b/unittests/Control/StoreListingTest.cpp
@@ -69,4 +69,32 @@
     EXPECT_FALSE(*more);
 }
 
+/// Guards against a list of older contents that names the latest revision: a watch from there does not return the changes between.
+TEST(StoreListingTest, theItemsProveAPositionWhateverThePagesName)
+{
+    StoreListing listing;
+    ASSERT_TRUE(listing.add({.items = {{.key = "a", .revision = 40}, {.key = "b", .revision = 7}}, .hasMore = true, .position = {.epoch = 2, .revision = 90}}));
+    EXPECT_EQ(listing.provenPosition(), (StorePosition{.epoch = 2, .revision = 40}));
+    // The second page is of an older copy than the first one.
+    ASSERT_TRUE(listing.add({.items = {{.key = "c", .revision = 30}}, .hasMore = false, .position = {.epoch = 2, .revision = 95}}));
+    EXPECT_EQ(listing.provenPosition(), (StorePosition{.epoch = 2, .revision = 30}));
+}
+
+TEST(StoreListingTest, aPageWithoutItemsProvesNoChange)
+{
+    StoreListing listing;
+    ASSERT_TRUE(listing.add({.items = {}, .hasMore = false, .position = {.epoch = 2, .revision = 90}}));
+    EXPECT_EQ(listing.provenPosition(), (StorePosition{.epoch = 2, .revision = 1}));
+}
+
+/// Guards against a list of which one part was read before and another after the store came back from an older copy.
+TEST(StoreListingTest, pagesOfTwoEpochsAreNoList)
+{
+    StoreListing listing;
+    ASSERT_TRUE(listing.add({.items = {{.key = "a", .revision = 40}}, .hasMore = true, .position = {.epoch = 2, .revision = 90}}));
+    const Result<bool> added = listing.add({.items = {{.key = "b", .revision = 41}}, .hasMore = false, .position = {.epoch = 3, .revision = 85}});
+    ASSERT_FALSE(added);
+    EXPECT_EQ(added.error().code, Errc::protocolViolation);
+}
+
 } // namespace ragwort
--- a/unittests/Platform/RestoredStoreTest.cpp
+++ b/unittests/Platform/RestoredStoreTest.cpp
@@ -31,6 +31,16 @@
     int requests = 0;
 };
 
+/// A fleet that starts for the first time, whose first list may be stale.
+class StaleReadTest : public RestoredStoreTest
+{
+protected:
+    bool firstStart() const override
+    {
+        return true;
+    }
+};
+
 } // namespace
 
 /// Guards against issue 41: the store came back from an older copy and gave out a revision again, for a new version of the routes. The instance
@@ -90,4 +100,19 @@
     EXPECT_TRUE(pumpUntil([&] { return entries() == 1; }));
 }
 
+/// Guards against issue 41, its second hypothesis: the first list came from an older copy and named the store's own revision, so that the changes
+/// between were never learned.
+TEST_F(StaleReadTest, aListOlderThanTheRevisionThatItNamesHidesNoChange)
+{
+    this->thread.call([this] {
+        this->store->keepCopy();
+        this->store->staleReads = true;
+    });
+    this->startAll();
+    this->thread.call([this] { this->store->keepCopy(); });
+    this->putRoutes(2, {"s0", "s1", "s2", "s3"}, "/added/");
+    this->startPeer(2);
+    EXPECT_TRUE(this->serves(CALLERS_PORT + PORT_STRIDE_PER_INSTANCE, "/added/1"));
+}
+
 } // namespace ragwort::platform
