Store without epochs: a revision that went down is a restore too

A list that may not be stale, was asked for after a position was known, and names an earlier one proves the restore: the instance then counts an epoch of its own, which its peers learn from it. A store that states epochs and whose revision goes down within one is not believed: the answer is logged and asked for again. A watch is answered at once in such a case, so that the list follows at once.

A lease that is granted to an instance that has begun to stop is ended at once; until now its entry was written and stayed until the lease ran out. The fake store answers 410 for a revision that it does not have.

--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -25,6 +25,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -149,6 +150,11 @@
     void replaceState(std::span<const StoreItem> items, StorePosition itemsPosition);
     /// Handles the store's statement of its epoch in an answer.
     void onStoreEpoch(StoreEpoch epoch);
+    /// Returns the position that an answer names. A store that states no epochs counts as in the latest one.
+    StorePosition positionOf(StorePosition named) const;
+    /// A list that may not be stale names a revision before one that was known when it was asked for. A store that states no epochs must have been
+    /// restored from an older copy.
+    void onRevisionDecreased(const Listing &listing);
     /// The store has begun a later epoch, as it or a peer has stated, and has lost what this instance last wrote.
     void onLaterEpoch();
     void watch();
@@ -213,8 +219,10 @@
     StorePosition position;
     /// The latest epoch of the store that has been acted upon, and when it became known.
     StoreEpoch actedOnEpoch = 0;
-    /// The epoch that the store has stated last, also if it is lower than before.
-    StoreEpoch statedEpoch = 0;
+    /// The epoch that the store has stated last, also if it is lower than before. Nothing if it has stated none.
+    std::optional<StoreEpoch> statedEpoch;
+    /// When `position` last advanced.
+    Instant positionKnownSince{};
     Instant epochKnownSince{};
     /// Lease of this instance's own entry. 0 before the first lease is granted, and while a new one is.
     LeaseId lease = 0;
@@ -225,6 +233,8 @@
     bool awaitsRelay = false;
     /// Until then, a relay is awaited after the start.
     Instant awaitRelayUntil{};
+    /// The last list was ignored because a later position was known.
+    bool lastListIgnored = false;
     /// Number of lists after the start that named no relay.
     int listsWithoutRelay = 0;
     /// Source of store events that was logged last. Empty if this instance watches the store.
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -80,7 +80,7 @@
 
 void RouteControl::onStoreEpoch(StoreEpoch epoch)
 {
-    const StoreEpoch before = std::exchange(this->statedEpoch, epoch);
+    const StoreEpoch before = std::exchange(this->statedEpoch, epoch).value_or(epoch);
     if (epoch < before) {
         logEvent(LogLevel::warning,
                  "store-epoch-decreased",
@@ -90,6 +90,20 @@
     this->performChangeFeedActions();
 }
 
+StorePosition RouteControl::positionOf(StorePosition named) const
+{
+    return this->statedEpoch ? named : StorePosition{.epoch = this->changeFeed.latestEpoch(), .revision = named.revision};
+}
+
+void RouteControl::onRevisionDecreased(const Listing &listing)
+{
+    const bool knownBefore = listing.consistency == ReadConsistency::latest && listing.requestedAt > this->positionKnownSince;
+    if (knownBefore && !this->statedEpoch && !this->changeFeed.isBehindEpoch()) {
+        this->changeFeed.onStoreEpoch(this->position.epoch + 1, steadyNow());
+        this->performChangeFeedActions();
+    }
+}
+
 void RouteControl::onLaterEpoch()
 {
     const StoreEpoch before = std::exchange(this->actedOnEpoch, this->changeFeed.latestEpoch());
@@ -170,7 +184,11 @@
             return;
         }
         this->onStoreResponse();
-        if (!this->applyListing(*listing) && this->changeFeed.isBehindEpoch()) {
+        this->lastListIgnored = !this->applyListing(*listing);
+        if (listing->number != this->readNumber) {
+            return;
+        }
+        if (this->lastListIgnored && this->changeFeed.isBehindEpoch()) {
             this->onStoreFailure({.code = Errc::protocolViolation,
                                   .step = "store-range",
                                   .peer = {},
@@ -206,7 +224,8 @@
         this->awaitRelayUntil = now + START_LIST_INTERVAL + RELAY_WAIT;
         this->continueAfter(START_LIST_INTERVAL, [this] {
             if (this->watchSuspended && !this->changeFeed.followsPeer() && !this->leaving) {
-                this->listStore(ReadConsistency::possiblyStale);
+                // One of the pages was older than those of the lists before, and may be so again.
+                this->listStore(this->lastListIgnored ? ReadConsistency::latest : ReadConsistency::possiblyStale);
             }
         });
     }
@@ -217,7 +236,7 @@
 {
     const std::span<const StoreItem> items = listing.pages.items();
     const bool possiblyStale = listing.consistency == ReadConsistency::possiblyStale;
-    const StorePosition listPosition = possiblyStale ? listing.pages.provenPosition() : listing.pages.position();
+    const StorePosition listPosition = this->positionOf(possiblyStale ? listing.pages.provenPosition() : listing.pages.position());
     const Instant asOf = possiblyStale ? listing.requestedAt - STALE_LIST_AGE : listing.requestedAt;
     if (!this->changeFeed.onListed(items, listPosition, asOf, steadyNow())) {
         this->storeCalls.outdatedLists.add();
@@ -226,6 +245,7 @@
                  {{.key = "position", .value = toText(listPosition)},
                   {.key = "known", .value = toText(this->position)},
                   {.key = "asked_ms_ago", .value = std::to_string(toMs(steadyNow() - listing.requestedAt))}});
+        this->onRevisionDecreased(listing);
         return false;
     }
     logEvent(LogLevel::info,
@@ -260,6 +280,7 @@
         }
     }
     const StorePosition before = std::exchange(this->position, itemsPosition);
+    this->positionKnownSince = steadyNow();
     this->rebuild();
     this->scheduleExpiry();
     this->updateDesiredPeers();
@@ -288,6 +309,10 @@
         this->performChangeFeedActions();
         return;
     }
+    if (this->changeFeed.awaitsNewEpoch(steadyNow())) {
+        this->watchSuspended = true;
+        return;
+    }
     this->watchSuspended = false;
     if (this->changeFeed.isBehindEpoch()) {
         this->listStore();
@@ -329,23 +354,25 @@
         return;
     }
     this->onStoreResponse();
-    if (result->position < this->position) {
+    if (this->changeFeed.isBehindEpoch()) {
+        this->watch();
+        return;
+    }
+    const StorePosition upTo = this->positionOf(result->position);
+    if (upTo < this->position) {
+        // The answer does not follow what is known: its revision means another change, or the store has gone back.
         logEvent(LogLevel::warning,
                  "store-position-decreased",
-                 {{.key = "position", .value = toText(result->position)},
+                 {{.key = "position", .value = toText(upTo)},
                   {.key = "known", .value = toText(this->position)},
                   {.key = "events", .value = std::to_string(result->events.size())}});
-    }
-    if (result->position.epoch != this->position.epoch) {
-        // The answer holds the changes after a revision that means another one in its epoch.
-        this->onStoreFailure(
-            {.code = Errc::protocolViolation, .step = "store-watch", .peer = {}, .detail = "an answer of another epoch, at " + toText(result->position)}, true);
+        this->onStoreFailure({.code = Errc::protocolViolation, .step = "store-watch", .peer = {}, .detail = "an earlier position, " + toText(upTo)}, true);
         return;
     }
     const Instant now = steadyNow();
     const Instant coveredUntil = watchCoversUntil(answered.requestedAt, answered.wait, *result);
-    this->changeFeed.onStoreEvents(result->events, result->position, this->registry.remainingRemovalGrace(now), coveredUntil, now);
-    this->applyEvents(result->events, result->position);
+    this->changeFeed.onStoreEvents(result->events, upTo, this->registry.remainingRemovalGrace(now), coveredUntil, now);
+    this->applyEvents(result->events, upTo);
     this->performChangeFeedActions();
     // Only a few instances are relays, so a relay uses the minimum pause.
     const int watcherCount = this->changeFeed.isRelay() ? 1 : this->registry.liveInstances();
@@ -363,7 +390,10 @@
             this->applyEvent(event);
         }
     }
-    this->position = std::max(this->position, upTo);
+    if (upTo > this->position) {
+        this->position = upTo;
+        this->positionKnownSince = steadyNow();
+    }
     if (this->rebuildNeeded) {
         this->rebuild();
     }
--- a/lib/Runtime/RouteControlEntry.cpp
+++ b/lib/Runtime/RouteControlEntry.cpp
@@ -26,7 +26,11 @@
             QTimer::singleShot(LEASE_RETRY_DELAY, this, [this] { this->grantLease(); });
             return;
         }
-        if (granted->epoch < this->actedOnEpoch) {
+        if (this->leaving) {
+            this->options.store.endLease(granted->id);
+            return;
+        }
+        if (this->statedEpoch && granted->epoch < this->actedOnEpoch) {
             // A later epoch has begun meanwhile, which has lost this lease.
             this->grantLease();
             return;
--- a/unittests/Platform/PlatformFakes.cpp
+++ b/unittests/Platform/PlatformFakes.cpp
@@ -42,7 +42,9 @@
     this->leases = this->copy.leases;
     this->revision = this->copy.revision;
     this->lastLease = this->copy.lastLease;
-    this->statedEpoch = std::to_string(std::stoull(this->statedEpoch) + 1);
+    if (!this->statedEpoch.empty()) {
+        this->statedEpoch = std::to_string(std::stoull(this->statedEpoch) + 1);
+    }
     for (const Watch &watch : std::exchange(this->watches, {})) {
         watch.exchange->drop();
     }
@@ -201,7 +203,7 @@
 {
     const Watch watch{
         .prefix = queryValue(query, "prefix"), .after = std::stoull(queryValue(query, "after")), .exchange = exchange, .number = ++this->lastWatchNumber};
-    if (watch.after < this->oldestRevision) {
+    if (watch.after < this->oldestRevision || watch.after > this->revision) {
         this->answer(*exchange, 410, {});
         return;
     }
--- a/unittests/Platform/RestoredStoreTest.cpp
+++ b/unittests/Platform/RestoredStoreTest.cpp
@@ -75,6 +75,29 @@
     EXPECT_TRUE(this->serves(CALLERS_PORT, "/later/1"));
 }
 
+/// Guards against the same in a store that does not say that it has been restored: its revisions go back.
+TEST_F(RestoredStoreTest, aListWithALowerRevisionIsTakenFromAStoreThatStatesNoEpoch)
+{
+    this->thread.call([this] { this->store->statedEpoch.clear(); });
+    this->startAll();
+    this->startPeer(2);
+    ASSERT_TRUE(this->serves(CALLERS_PORT + PORT_STRIDE_PER_INSTANCE, "/one/1"));
+    this->loseChanges(40);
+    this->thread.call([this] { this->store->restoreCopy(); });
+    this->putRoutes(2, {"s0", "s1", "s2", "s3"}, "/added/");
+    EXPECT_TRUE(this->serves(CALLERS_PORT, "/added/1"));
+    EXPECT_TRUE(this->serves(CALLERS_PORT + PORT_STRIDE_PER_INSTANCE, "/added/1"));
+}
+
+/// Guards against a store whose answers name an epoch that is no number: it counts as one that states none.
+TEST_F(RestoredStoreTest, anEpochThatIsNoNumberStopsNothing)
+{
+    this->thread.call([this] { this->store->statedEpoch = "seven"; });
+    this->startAll();
+    this->putRoutes(2, {"s0", "s1", "s2", "s3"}, "/added/");
+    EXPECT_TRUE(this->serves(CALLERS_PORT, "/added/1"));
+}
+
 /// Guards against a version that goes back when the store does.
 TEST_F(RestoredStoreTest, aVersionThatTheStoreHasLostStaysInForce)
 {
