Divided queries: one that an aggregator may be running is not answered as not run

Callers got 503, which promises that a request has not run, for a query of which another part ran after that. A coordinator had handed its shards to two aggregators; one refused because the servers held it back, the query ended for lack of its shards, and the open branch did not count as a possible run. DivisionStepsTest fails before (not run) and passes.

--- a/lib/Kernel/ForwardSteps.cpp
+++ b/lib/Kernel/ForwardSteps.cpp
@@ -244,7 +244,8 @@
 void QueryEngine::finishForward(ActiveQuery &query, Reason reason, Instant now)
 {
     Answer answer{.reason = std::string(toString(reason)), .forwarded = buildReply(query)};
-    const bool mayHaveRun = std::any_of(query.parts.begin(), query.parts.end(), [](const QueryPart &part) { return part.possibleRuns > 0; });
+    const bool mayHaveRun = std::any_of(query.parts.begin(), query.parts.end(), [](const QueryPart &part) { return part.possibleRuns > 0; })
+        || std::any_of(query.branches.begin(), query.branches.end(), [](const QueryBranch &branch) { return branch.open; });
     if (!std::holds_alternative<std::monostate>(answer.forwarded)) {
         answer.success = true;
         answer.state = RunState::ran;
--- a/unittests/Kernel/DivisionStepsTest.cpp
+++ b/unittests/Kernel/DivisionStepsTest.cpp
@@ -219,6 +219,22 @@
     EXPECT_TRUE(this->harness.takeSends().empty());
 }
 
+/// Guards against a caller that is told that its query did not run although another aggregator is gathering its share of it: the share that the
+/// servers held back was enough to end the query.
+TEST_F(DivisionStepsTest, aQueryOfWhichOneBranchIsRefusedMayHaveRunInAnother)
+{
+    for (Aggregator &aggregator : this->harness.division.aggregators) {
+        aggregator.capacity = 0.025;
+    }
+    this->harness.publishServers();
+    this->harness.submit();
+    const std::vector<SendPartialQuery> branches = std::exchange(this->harness.branches, {});
+    ASSERT_EQ(branches.size(), 2U);
+    this->answer(branches[0], refusalOf(branches[0].request, "held-back-by-servers"));
+    ASSERT_EQ(this->harness.replies.size(), 1U);
+    EXPECT_EQ(this->harness.replies[0].state, RunState::outcomeUnknown);
+}
+
 /// A silent aggregator may have sent the requests, and each server may run them once more only within the route's attempts: the caller is told
 /// at once, instead of at its deadline.
 TEST_F(DivisionStepsTest, aSilentAggregatorCostsOneQueryAndIsThenAvoided)
