Change feed: the items of a later epoch are sent at once, whenever those of the last were

What happened: the store came back from an older copy twice within 2 s. Instances that follow a peer, or that the store refuses, stayed at the contents of the first return until 2 s had passed, or listed the store all together after 1 s. It now counts within one epoch.

ControlTests pass.

--- a/include/ragwortcart/Control/StoreChangeFeed.h
+++ b/include/ragwortcart/Control/StoreChangeFeed.h
@@ -86,7 +86,7 @@
         /// Size of the history kept for peers that have fallen behind; 256 KiB holds a few configurations and some
         /// hundred servers.
         std::size_t historyBytes = 256 * 1024;
-        /// A peer that asks again for a snapshot gets the next one after this time.
+        /// A peer that asks again for a snapshot of the same epoch gets the next one after this time.
         Duration snapshotInterval = std::chrono::seconds(2);
         /// How long an instance that is no relay waits for a peer's snapshot of a new epoch before it lists the store itself.
         Duration newEpochWait = std::chrono::milliseconds(1000);
@@ -201,6 +201,8 @@
         bool offersSnapshot = false;
         /// When the peer was last sent a snapshot.
         std::optional<Instant> snapshotSentAt;
+        /// Epoch of that snapshot. Valid if `snapshotSentAt` is set.
+        StoreEpoch snapshotEpoch = 0;
     };
     /// The peer with the lowest value is the preferred source: nearest to the store first, then in an order that
     /// differs between instances.
@@ -238,7 +240,7 @@
     void appendHistory(const StoreEvent &event);
     void pushTo(const std::string &name, Peer &peer, Duration removalGrace);
     void pushToAll(Duration removalGrace);
-    /// Sends all items to a peer that asked for them, unless it was sent them a short time ago.
+    /// Sends all items to a peer that asked for them, unless it was sent those of this epoch a short time ago.
     void sendSnapshot(const std::string &name, Peer &peer, Instant now);
     /// Makes \p base the beginning of an empty history.
     void restartHistory(StorePosition base);
--- a/lib/Control/StoreChangeFeed.cpp
+++ b/lib/Control/StoreChangeFeed.cpp
@@ -491,11 +491,12 @@
 
 void StoreChangeFeed::sendSnapshot(const std::string &name, Peer &peer, Instant now)
 {
-    const bool sentRecently = peer.snapshotSentAt && now - *peer.snapshotSentAt < this->options.snapshotInterval;
+    const bool sentRecently = peer.snapshotSentAt && peer.snapshotEpoch == this->position.epoch && now - *peer.snapshotSentAt < this->options.snapshotInterval;
     if (sentRecently || this->hasGap || this->position.revision == 0) {
         return;
     }
     peer.snapshotSentAt = now;
+    peer.snapshotEpoch = this->position.epoch;
     this->actions.emplace_back(SendStoreMessage{.peer = name, .message = PeerStoreSnapshot{.position = this->position, .items = this->contents.items()}});
 }
 
--- a/unittests/Control/StoreChangeFeedTest.cpp
+++ b/unittests/Control/StoreChangeFeedTest.cpp
@@ -704,6 +704,27 @@
     this->expectAllApplied("later");
 }
 
+/// Guards against a second restore that an instance which the store refuses hears of late, because its peers had sent it all items a short time before.
+TEST_F(StoreChangeFeedTest, aSecondRestoreSoonAfterTheFirstIsLearnedFromPeersAtOnce)
+{
+    this->addDomain("a", 4);
+    this->addDomain("b", 4);
+    for (int index = 0; index < 10; ++index) {
+        this->write("k" + std::to_string(index));
+    }
+    this->run(milliseconds(2000));
+    for (auto &[name, harness] : this->harnesses) {
+        harness.storeUnavailable = this->instanceItems.at(name).domain == "a";
+    }
+    this->run(milliseconds(1000));
+    for (const char *key : {"first", "second"}) {
+        this->restoreOlderCopy(3);
+        this->write(key);
+        this->run(milliseconds(600));
+        this->expectAllApplied(key);
+    }
+}
+
 /// Guards against an answer of an earlier epoch that arrives late, from the store or from a peer, and takes the contents back.
 TEST(StoreChangeFeedEpochTest, ignoresWhatIsOfAnEarlierEpoch)
 {
