StoreChangeFeedRestoreTest: restores of the store among failures of instances and links, over seeds

After every 500 steps all faults end, and within the bound each instance has exactly the store's contents and position; meanwhile those that reach the store have each change within the bound.

--- a/unittests/Control/StoreChangeFeedTest.cpp
+++ b/unittests/Control/StoreChangeFeedTest.cpp
@@ -6,6 +6,7 @@
 #include "ragwortcart/Support/Visitor.h"
 
 #include <algorithm>
+#include <deque>
 #include <gtest/gtest.h>
 #include <memory>
 #include <pcg_random.hpp>
@@ -371,6 +372,113 @@
 {
 };
 
+/// Faults of the store, of instances and of links in random order, among them restores of the store from an older copy.
+class StoreChangeFeedRestoreTest : public StoreChangeFeedTest, public testing::WithParamInterface<unsigned>
+{
+protected:
+    /// Restores the store, whose lost changes their writers write again in the following steps.
+    void restoreAndWriteAgainLater()
+    {
+        const std::size_t lost = 1 + this->random(20);
+        const std::size_t kept = this->store.size() - std::min(lost, this->store.size());
+        for (std::size_t index = kept; index < this->store.size(); ++index) {
+            this->toWriteAgain.push_back(this->store[index].key);
+        }
+        this->restoreOlderCopy(lost);
+    }
+
+    void writeSome(const std::string &key)
+    {
+        if (!this->toWriteAgain.empty() && this->random(2) == 0) {
+            this->write(this->toWriteAgain.front());
+            this->toWriteAgain.pop_front();
+        }
+        if (this->random(3) == 0) {
+            this->write(key);
+        }
+    }
+
+    void beginAndEndFaults()
+    {
+        for (auto &[name, harness] : this->harnesses) {
+            Instant &until = this->faultUntil[name];
+            if (this->now < until) {
+                continue;
+            }
+            if (harness.silentSince || harness.storeUnavailable || harness.frozen) {
+                harness.silentSince.reset();
+                harness.storeUnavailable = false;
+                harness.frozen = false;
+                harness.lastFault = this->now;
+            }
+            if (this->random(120) != 0) {
+                continue;
+            }
+            until = this->now + milliseconds(500 + this->random(6000));
+            switch (this->random(3)) {
+            case 0:
+                harness.silentSince = this->now;
+                break;
+            case 1:
+                harness.storeUnavailable = true;
+                break;
+            default:
+                harness.frozen = true;
+            }
+        }
+        for (const auto &link : this->linked) {
+            if (this->random(120) == 0 && !this->deadSince.contains(link)) {
+                this->deadSince[link] = this->now;
+                this->deadUntil[link] = this->now + milliseconds(1000 + this->random(6000));
+            }
+        }
+        std::erase_if(this->deadSince, [&](const auto &dead) { return this->now >= this->deadUntil.at(dead.first); });
+    }
+
+    void endAllFaults()
+    {
+        for (auto &[name, harness] : this->harnesses) {
+            harness.silentSince.reset();
+            harness.storeUnavailable = false;
+            harness.frozen = false;
+        }
+        this->deadSince.clear();
+    }
+
+    /// Returns how long ago the oldest change was made that the store holds and the instance does not.
+    Duration oldestUnknown(const FeedHarness &harness) const
+    {
+        if (harness.position.epoch == this->epoch) {
+            return this->oldestMissing(harness);
+        }
+        const std::set<std::string> known(harness.applied.begin(), harness.applied.end());
+        Duration oldest{};
+        for (const StoreItem &item : this->store) {
+            if (!known.contains(item.key)) {
+                oldest = std::max(oldest, this->now - this->writtenAt.at(item.key));
+            }
+        }
+        return oldest;
+    }
+
+    void expectContentsOfTheStore() const
+    {
+        std::multiset<std::string> keys;
+        for (const StoreItem &item : this->store) {
+            keys.insert(item.key);
+        }
+        for (const auto &[name, harness] : this->harnesses) {
+            EXPECT_EQ(harness.position, this->storePosition()) << name;
+            EXPECT_EQ(std::multiset<std::string>(harness.applied.begin(), harness.applied.end()), keys) << name;
+        }
+    }
+
+    pcg32 random{GetParam()};
+    std::deque<std::string> toWriteAgain;
+    std::map<std::string, Instant> faultUntil;
+    std::map<std::pair<std::string, std::string>, Instant> deadUntil;
+};
+
 } // namespace
 
 TEST_F(StoreChangeFeedTest, twoRelaysPerDomainWatchTheStore)
@@ -725,6 +833,39 @@
     }
 }
 
+/// Guards against an instance that stays at the contents of an earlier epoch, or is late, when the store comes back from an older copy while instances
+/// and links fail.
+TEST_P(StoreChangeFeedRestoreTest, instancesThatReachTheStoreFollowItThroughRestores)
+{
+    for (const char *domain : {"a", "b", "c"}) {
+        this->addDomain(domain, 4);
+    }
+    this->addDomain("d", 1);
+    Duration worst{};
+    for (int step = 0; step < 4000; ++step) {
+        this->writeSome("k" + std::to_string(step));
+        if (this->random(80) == 0) {
+            this->restoreAndWriteAgainLater();
+        }
+        this->beginAndEndFaults();
+        this->run(STEP);
+        for (const auto &[name, harness] : this->harnesses) {
+            const bool reachesStore = !harness.silentSince && !harness.storeUnavailable && !harness.frozen;
+            if (reachesStore && this->now - harness.lastFault >= CONTACT_TIME) {
+                worst = std::max(worst, this->oldestUnknown(harness));
+            }
+        }
+        if (step % 500 == 499) {
+            this->endAllFaults();
+            this->run(APPLY_BOUND);
+            this->expectContentsOfTheStore();
+        }
+    }
+    EXPECT_LE(worst, APPLY_BOUND);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, StoreChangeFeedRestoreTest, testing::Values(11U, 74U, 129U, 349U));
+
 /// Guards against an answer of an earlier epoch that arrives late, from the store or from a peer, and takes the contents back.
 TEST(StoreChangeFeedEpochTest, ignoresWhatIsOfAnEarlierEpoch)
 {
