Peers: one that knows no epochs is told to watch the store, and confirmed by no relay that does

What happens: while instances are updated one by one, a follower of an earlier version subscribes to a relay of this one, which never sends it a change, as it could not read it. It learns each change only when it counts as unconfirmed. After a restore the relay's lower revision even confirms the follower's knowledge, so that it does not ask the store until the relay's revision has passed its own.

A digest now always ends with the epoch, 0 included, which tells that its sender knows epochs; earlier versions ignore the field.

ControlTests pass, PeerCodecTest passes. Not run: a fleet with a binary of the earlier version.

--- a/include/ragwortcart/Control/PeerMessages.h
+++ b/include/ragwortcart/Control/PeerMessages.h
@@ -102,6 +102,8 @@
     /// `madeAtUs` of the receiver's last digest, 0 before the first. Bounds the age of this message by the receiver's own clock, however
     /// slow the sender and the link are.
     std::int64_t echoedUs = 0;
+    /// The sender's version compares epochs and reads messages that name one.
+    bool knowsEpochs = true;
 };
 
 /// All items of the metadata store. Sent to an instance that lacks changes which no history contains any more.
--- a/include/ragwortcart/Control/StoreChangeFeed.h
+++ b/include/ragwortcart/Control/StoreChangeFeed.h
@@ -199,6 +199,8 @@
         bool subscribed = false;
         StorePosition sentUpTo;
         bool offersSnapshot = false;
+        /// The peer's version compares epochs. True before its first digest.
+        bool knowsEpochs = true;
         /// When the peer was last sent a snapshot.
         std::optional<Instant> snapshotSentAt;
         /// Epoch of that snapshot. Valid if `snapshotSentAt` is set.
@@ -246,6 +248,8 @@
     void restartHistory(StorePosition base);
     void confirm(Instant when, Instant now);
     void updateUnconfirmed(Instant now);
+    /// Returns whether the peer reads what this instance sends it of its contents.
+    bool canRead(const Peer &peer) const;
     void sendDigestsToSubscribers(Instant now);
     void sendDigest(const std::string &name, Instant now);
     void sendDigests(Instant now);
--- a/lib/Control/StoreChangeFeed.cpp
+++ b/lib/Control/StoreChangeFeed.cpp
@@ -260,6 +260,7 @@
     state.distance = digest.distance;
     const bool changedEpoch = std::exchange(state.position, digest.position).epoch != digest.position.epoch;
     this->onStoreEpoch(digest.position.epoch, now);
+    const bool changedVersion = std::exchange(state.knowsEpochs, digest.knowsEpochs) != digest.knowsEpochs;
     state.offersSnapshot = digest.offersSnapshot;
     state.lastDigestUs = digest.madeAtUs;
     state.confirmedAt = confirmationTime(digest);
@@ -282,6 +283,8 @@
         this->sendDigests(now);
     } else if (this->source == peer && this->lastConfirmed > confirmedBefore) {
         this->sendDigestsToSubscribers(now);
+    } else if (changedVersion) {
+        this->sendDigest(peer, now);
     }
 }
 
@@ -492,7 +495,7 @@
 void StoreChangeFeed::sendSnapshot(const std::string &name, Peer &peer, Instant now)
 {
     const bool sentRecently = peer.snapshotSentAt && peer.snapshotEpoch == this->position.epoch && now - *peer.snapshotSentAt < this->options.snapshotInterval;
-    if (sentRecently || this->hasGap || this->position.revision == 0) {
+    if (sentRecently || this->hasGap || this->position.revision == 0 || !this->canRead(peer)) {
         return;
     }
     peer.snapshotSentAt = now;
@@ -519,6 +522,11 @@
     this->unconfirmed = this->lastConfirmed && now - *this->lastConfirmed >= this->options.confirmationTimeout;
 }
 
+bool StoreChangeFeed::canRead(const Peer &peer) const
+{
+    return peer.knowsEpochs || this->position.epoch == 0;
+}
+
 void StoreChangeFeed::sendDigestsToSubscribers(Instant now)
 {
     for (const auto &[name, peer] : this->peers) {
@@ -532,16 +540,19 @@
 {
     const bool isSource = this->source == name;
     const auto peer = this->peers.find(name);
-    this->actions.emplace_back(SendStoreMessage{.peer = name,
-                                                // The source must not use this instance as its own source.
-                                                .message = PeerStoreDigest{.position = this->position,
-                                                                           .distance = isSource ? STORE_UNREACHABLE : this->distance(),
-                                                                           .wantsEvents = isSource,
-                                                                           .confirmedAge = this->lastConfirmed ? now - *this->lastConfirmed : AGE_UNKNOWN,
-                                                                           .offersSnapshot = this->position.revision > 0 && !this->hasGap,
-                                                                           .wantsSnapshot = this->snapshotSource == name,
-                                                                           .madeAtUs = now.time_since_epoch().count(),
-                                                                           .echoedUs = peer == this->peers.end() ? 0 : peer->second.lastDigestUs}});
+    const bool readable = peer == this->peers.end() || this->canRead(peer->second);
+    this->actions.emplace_back(
+        SendStoreMessage{.peer = name,
+                         // The source must not use this instance as its own source, nor must a peer that could not
+                         // read the changes, or would compare revisions of different epochs.
+                         .message = PeerStoreDigest{.position = this->position,
+                                                    .distance = isSource || !readable ? STORE_UNREACHABLE : this->distance(),
+                                                    .wantsEvents = isSource,
+                                                    .confirmedAge = this->lastConfirmed && readable ? now - *this->lastConfirmed : AGE_UNKNOWN,
+                                                    .offersSnapshot = this->position.revision > 0 && !this->hasGap && readable,
+                                                    .wantsSnapshot = this->snapshotSource == name,
+                                                    .madeAtUs = now.time_since_epoch().count(),
+                                                    .echoedUs = peer == this->peers.end() ? 0 : peer->second.lastDigestUs}});
 }
 
 void StoreChangeFeed::sendDigests(Instant now)
--- a/lib/Wire/PeerCodec.cpp
+++ b/lib/Wire/PeerCodec.cpp
@@ -30,7 +30,8 @@
 };
 
 // The epoch of the store is the last field of messages about its contents, and is left out while it is 0. Instances that know no epochs refuse
-// messages of a later one for their number of fields.
+// messages of a later one for their number of fields. A digest always ends with it: the field tells that the sender knows epochs, and those that
+// know none ignore it.
 
 /// The fields are type, base revision, last revision, removal grace and events.
 static constexpr qsizetype STORE_EVENTS_FIELDS = 5;
@@ -169,7 +170,9 @@
     array.append(digest.wantsSnapshot);
     array.append(static_cast<qint64>(digest.madeAtUs));
     array.append(static_cast<qint64>(digest.echoedUs));
-    appendEpoch(array, digest.position.epoch);
+    if (digest.knowsEpochs) {
+        array.append(number(digest.position.epoch));
+    }
     return array;
 }
 
@@ -427,7 +430,8 @@
                                            .offersSnapshot = array.at(5).toBool(),
                                            .wantsSnapshot = array.at(6).toBool(),
                                            .madeAtUs = array.at(7).toInteger(),
-                                           .echoedUs = array.at(8).toInteger()});
+                                           .echoedUs = array.at(8).toInteger(),
+                                           .knowsEpochs = array.at(STORE_DIGEST_FIELDS).isInteger()});
     case PeerType::storeEvents:
         // A truncated message must not be mistaken for one without events, which states that no key has changed.
         if (!hasFields(array, STORE_EVENTS_FIELDS) || !array.at(4).isArray()) {
--- a/unittests/Control/StoreChangeFeedTest.cpp
+++ b/unittests/Control/StoreChangeFeedTest.cpp
@@ -895,6 +895,34 @@
     EXPECT_FALSE(feed.isBehindEpoch());
 }
 
+/// Guards against followers of a version that knows no epochs which learn each change late during an update of the instances: they subscribed to a
+/// relay that knows epochs, whose changes they could not have read and never got.
+TEST(StoreChangeFeedEpochTest, aPeerThatKnowsNoEpochsIsToldToWatchTheStore)
+{
+    const Instant now{std::chrono::seconds(100)};
+    for (const StoreEpoch epoch : {0, 1}) {
+        StoreChangeFeed feed({.instance = "a0", .domain = "a"});
+        ASSERT_TRUE(feed.onListed({}, {.epoch = epoch, .revision = 50}, now, now));
+        feed.onLinkUp("a1", now);
+        feed.onDigest("a1", {.position = {.epoch = 0, .revision = 50}, .wantsEvents = true, .wantsSnapshot = true, .knowsEpochs = false}, now);
+        std::optional<PeerStoreDigest> last;
+        bool sendsContents = false;
+        for (const StoreFeedAction &action : feed.takeActions()) {
+            const auto &message = std::get<SendStoreMessage>(action).message;
+            if (const auto *digest = std::get_if<PeerStoreDigest>(&message)) {
+                last = *digest;
+            } else {
+                sendsContents = true;
+            }
+        }
+        ASSERT_TRUE(last);
+        EXPECT_EQ(last->distance, epoch == 0 ? 0 : STORE_UNREACHABLE);
+        EXPECT_EQ(last->confirmedAge, epoch == 0 ? Duration::zero() : AGE_UNKNOWN) << "it would count as confirmed by a revision of another epoch";
+        EXPECT_EQ(last->offersSnapshot, epoch == 0);
+        EXPECT_EQ(sendsContents, epoch == 0);
+    }
+}
+
 TEST_F(StoreChangeFeedTest, replacesALeavingRelayImmediately)
 {
     this->addDomain("a", 4);
--- a/unittests/Wire/PeerCodecTest.cpp
+++ b/unittests/Wire/PeerCodecTest.cpp
@@ -77,6 +77,18 @@
     ASSERT_TRUE(digest);
     EXPECT_EQ(std::get<PeerStoreDigest>(*digest).position, (StorePosition{.epoch = 0, .revision = 12}));
     EXPECT_EQ(std::get<PeerStoreDigest>(*digest).confirmedAge, AGE_UNKNOWN);
+    EXPECT_FALSE(std::get<PeerStoreDigest>(*digest).knowsEpochs);
+}
+
+/// Guards against a peer of a version that knows no epochs that is taken for one in the first epoch.
+TEST(PeerCodecTest, aDigestTellsWhetherItsSenderKnowsEpochs)
+{
+    for (const bool knowsEpochs : {false, true}) {
+        const Result<PeerMessage> digest
+            = decodePeerMessage(encodePeerMessage(PeerStoreDigest{.position = {.epoch = 0, .revision = 12}, .knowsEpochs = knowsEpochs}), "peer");
+        ASSERT_TRUE(digest);
+        EXPECT_EQ(std::get<PeerStoreDigest>(*digest).knowsEpochs, knowsEpochs);
+    }
 }
 
 /// Instances that know no epochs accept only messages with their own number of fields: those of a store that has not been restored.
