Restored store: what was known before counts more than the older copy

A server that drained or had gone got work again; an evacuation ordered in the lost seconds ended at once; instances that were alive counted as gone, so that the others took larger shares and relays changed.

Change: an item counts as written since the restore if it comes as a change, or with a revision above that of the epoch's first contents. All other listed items may be the copy's: a server that drains drains on, one that had gone gets no work for three heartbeats (heartbeat_ms), an older process replaces no newer one under its id or at its address, a domain out of service stays out for the grace, instances count for 12 s. A domain comes back and a server is trusted only if the store's contents are known as of then. Two log lines and the gauges ragwort_unconfirmed_entries say what the store does not confirm.

--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -26,7 +26,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -125,12 +124,19 @@
         std::atomic<int> distance{STORE_UNREACHABLE};
         /// Time on the monotonic clock, in microseconds; zero before the first confirmation.
         std::atomic<std::int64_t> confirmedAtUs{0};
+        /// Numbers of entries that are believed although the store does not confirm them.
+        std::atomic<std::size_t> unconfirmedServers{0};
+        std::atomic<std::size_t> unconfirmedDomains{0};
+        std::atomic<std::size_t> unconfirmedInstances{0};
     };
 
     /// Decoded items of a complete listing. They replace the previous state.
     struct ListedItems
     {
         std::vector<ServerEntry> servers;
+        /// Those that may come from the older copy from which the store was restored.
+        std::vector<ServerEntry> copiedServers;
+        std::vector<std::string> domainsOut;
         std::vector<InstanceItem> instances;
     };
 
@@ -164,12 +170,16 @@
     /// Applies the events that are newer than `position`, in whose epoch they are, and publishes the resulting topology.
     void applyEvents(std::span<const StoreEvent> events, StorePosition upTo);
     void applyEvent(const StoreEvent &event);
-    /// Applies an item. If \p listed is not null, the item belongs to a listing: servers and instances are only added to \p listed.
+    /// Applies an item. If \p listed is not null, the item belongs to a listing: all but the routes is only added to \p listed.
     void applyItem(const StoreItem &item, ListedItems *listed);
     void applyRemoval(const std::string &key);
     void applyRoutes(const RoutesItem &routesItem, StoreRevision storeRevision);
     void rebuild();
+    /// Drops what was not written again in time after an outage or a restore of the store, and publishes the rest.
+    void dropExpired();
     void scheduleExpiry();
+    /// Updates the gauges of what the store does not confirm. Logs when all that an older copy lacked has been confirmed or dropped.
+    void updateUnconfirmed();
     /// Handles a failed watch or listing and schedules the next one. \p relist requires a listing.
     void onStoreFailure(const Error &error, bool relist);
     /// Resets the failure count and ends an outage of the store.
@@ -213,10 +223,12 @@
     ServerAttemptAggregator attemptAggregator;
     /// Current routes. The version never decreases. Null before the first version.
     std::shared_ptr<const RouteTable> routes;
-    /// Failure domains that the operator has taken out of service.
-    std::set<std::string> domainsOutOfService;
     /// All events up to this position have been applied.
     StorePosition position;
+    /// Items up to this revision may come from the older copy from which the store was restored. 0 if it was not.
+    StoreRevision copiedUpTo = 0;
+    /// When the first contents of the epoch were applied, until all that they lacked has been confirmed or dropped.
+    std::optional<Instant> epochContentsSince;
     /// The latest epoch of the store that has been acted upon, and when it became known.
     StoreEpoch actedOnEpoch = 0;
     /// The epoch that the store has stated last, also if it is lower than before. Nothing if it has stated none.
--- a/include/ragwortcart/Runtime/RouteProcess.h
+++ b/include/ragwortcart/Runtime/RouteProcess.h
@@ -46,6 +46,10 @@
     /// Maximum requests per second to a cold server from all instances: a multiple of the cold rate of its service plus a constant.
     double coldRateFactor = 1.5;
     double coldRateAddition = 5.0;
+    /// How long after the store's return a live server, or the operator, may take to write again what it has lost.
+    Duration removalGrace = std::chrono::milliseconds(2200);
+    /// How long the entry of a server that has died may stand in the store.
+    Duration serverSilence = std::chrono::milliseconds(3600);
 };
 
 class RouteProcess
--- a/lib/Control/ServerRegistry.cpp
+++ b/lib/Control/ServerRegistry.cpp
@@ -37,6 +37,8 @@
 /// Percentage of what all instances together may do at the servers of shards that is reserved for the aggregators. The others need the rest if
 /// no aggregator is left to them.
 static constexpr int AGGREGATORS_PERCENT = 50;
+/// Interval at which a deadline that has passed is checked again while the store's contents are not known as of it.
+static constexpr Duration DEADLINE_CHECK_INTERVAL = std::chrono::milliseconds(250);
 /// Headroom for instances that start before the others know about them.
 static constexpr int JOINING_INSTANCES = 1;
 
@@ -50,7 +52,21 @@
         && left.slots == right.slots;
 }
 
-ServerPointer ServerRegistry::makeRecord(const ServerEntry &entry, const Server &previous)
+bool ServerRegistry::startedBefore(const ServerEntry &left, const ServerEntry &right)
+{
+    return left.startedMs != 0 && left.startedMs < right.startedMs;
+}
+
+bool ServerRegistry::hasPassed(Deadline &deadline, Instant now, Instant storeKnownAt)
+{
+    if (now < deadline.nextCheck) {
+        return false;
+    }
+    deadline.nextCheck = now + DEADLINE_CHECK_INTERVAL;
+    return storeKnownAt >= deadline.due;
+}
+
+ServerPointer ServerRegistry::makeRecord(const ServerEntry &entry, const Server &previous, bool isWithheld)
 {
     const auto former = this->formerServers.find(entry.id);
     ServerPointer known = previous.record;
@@ -61,13 +77,14 @@
         const bool same = sameProcess(entry, former->second.entry);
         this->formerServers.erase(former);
         if (same) {
-            known->setExclusion(ServerRecord::gone, false);
+            known->setExclusion(ServerRecord::gone, isWithheld);
             return known;
         }
     }
     auto record = std::make_shared<ServerRecord>(ServerIdentity{
         .id = entry.id, .address = entry.address, .team = {}, .group = {}, .service = entry.service, .domain = entry.domain, .slots = entry.slots});
     record->inOtherDomain.store(entry.domain != this->options.domain);
+    record->setExclusion(ServerRecord::gone, isWithheld);
     if (known && knownStartedMs == entry.startedMs) {
         record->inheritStatement(*known);
     }
@@ -83,34 +100,90 @@
 
 bool ServerRegistry::set(const ServerEntry &entry, Instant now)
 {
-    Server &server = this->servers[entry.id];
-    const bool knownProcess = server.record && sameProcess(server.entry, entry);
-    if (knownProcess && !server.expiresAt && server.entry.draining == entry.draining && entry.warmUpLeft == Duration::zero()) {
-        return false;
+    const auto found = this->servers.find(entry.id);
+    if (found != this->servers.end()) {
+        const Server &server = found->second;
+        const bool isConfirmed = !server.expiresAt && !server.withheld && !server.drainingUnconfirmed;
+        if (isConfirmed && sameProcess(server.entry, entry) && server.entry.draining == entry.draining && entry.warmUpLeft == Duration::zero()) {
+            return false;
+        }
     }
-    if (!knownProcess) {
-        const ServerPointer next = this->makeRecord(entry, server);
+    this->apply(entry, false, now);
+    return true;
+}
+
+ServerRegistry::Server &ServerRegistry::apply(const ServerEntry &entry, bool isWithheld, Instant now)
+{
+    Server &server = this->servers[entry.id];
+    if (!server.record || !sameProcess(server.entry, entry)) {
+        const ServerPointer next = this->makeRecord(entry, server, isWithheld);
         if (server.record) {
             server.record->setExclusion(ServerRecord::gone, true);
         }
         server.record = next;
+    } else if (server.withheld && !isWithheld) {
+        server.record->setExclusion(ServerRecord::gone, false);
     }
     server.entry = entry;
     server.expiresAt.reset();
+    server.withheld.reset();
+    if (isWithheld) {
+        server.withheld = deadlineAt(now + this->options.serverSilence);
+    }
+    server.drainingUnconfirmed = false;
     if (entry.warmUpLeft > Duration::zero()) {
         server.record->announcedColdUntilUs.store((now + entry.warmUpLeft).time_since_epoch().count());
     }
     this->updateExclusions(server);
+    return server;
+}
+
+bool ServerRegistry::applyCopied(const ServerEntry &entry, const std::map<std::string, std::int64_t> &newestAt, Instant now)
+{
+    const auto known = this->servers.find(entry.id);
+    const auto former = this->formerServers.find(entry.id);
+    const ServerEntry *before = nullptr;
+    if (known != this->servers.end()) {
+        before = &known->second.entry;
+    } else if (former != this->formerServers.end()) {
+        before = &former->second.entry;
+    }
+    if (before != nullptr && startedBefore(entry, *before)) {
+        return false;
+    }
+    const bool isNewProcess = before == nullptr || startedBefore(*before, entry);
+    if (known != this->servers.end() && known->second.withheld && !isNewProcess) {
+        return true;
+    }
+    ServerEntry believed = entry;
+    if (!isNewProcess) {
+        believed.draining = entry.draining || before->draining;
+        // How long the server is still cold was said when the entry was written, and is known.
+        believed.warmUpLeft = sameProcess(entry, *before) ? Duration::zero() : entry.warmUpLeft;
+    }
+    const auto newest = newestAt.find(entry.address);
+    const bool addressTaken = newest != newestAt.end() && entry.startedMs != 0 && entry.startedMs < newest->second;
+    const bool hadGone = known == this->servers.end() && !isNewProcess;
+    const bool isWithheld = hadGone || (isNewProcess && addressTaken);
+    this->apply(believed, isWithheld, now).drainingUnconfirmed = believed.draining && !entry.draining;
     return true;
 }
 
+bool ServerRegistry::isAddressTaken(const ServerEntry &entry) const
+{
+    return std::any_of(this->servers.begin(), this->servers.end(), [&entry](const auto &each) {
+        const Server &other = each.second;
+        return !other.withheld && other.entry.address == entry.address && startedBefore(entry, other.entry);
+    });
+}
+
 bool ServerRegistry::remove(const std::string &id, Instant now)
 {
     const auto found = this->servers.find(id);
     if (found == this->servers.end() || found->second.expiresAt) {
         return false;
     }
-    if (now < this->graceEnd) {
+    if (now < this->graceEnd && !found->second.withheld) {
         found->second.expiresAt = this->graceEnd;
         return false;
     }
@@ -119,13 +192,25 @@
     return true;
 }
 
-void ServerRegistry::replaceAll(std::span<const ServerEntry> entries, Instant now)
+void ServerRegistry::replaceAll(std::span<const ServerEntry> entries, Instant now, std::span<const ServerEntry> copied)
 {
     std::set<std::string> listed;
     for (const ServerEntry &entry : entries) {
         listed.insert(entry.id);
         this->set(entry, now);
     }
+    std::map<std::string, std::int64_t> newestAt;
+    if (!copied.empty()) {
+        for (const auto &[id, server] : this->servers) {
+            std::int64_t &newest = newestAt[server.entry.address];
+            newest = server.withheld ? newest : std::max(newest, server.entry.startedMs);
+        }
+    }
+    for (const ServerEntry &entry : copied) {
+        if (this->applyCopied(entry, newestAt, now)) {
+            listed.insert(entry.id);
+        }
+    }
     std::vector<std::string> missing;
     for (const auto &[id, server] : this->servers) {
         if (!listed.contains(id)) {
@@ -144,29 +229,77 @@
     } else {
         this->domainsOutOfService.erase(domain);
     }
+    this->unconfirmedDomains.erase(domain);
     for (const auto &[id, server] : this->servers) {
         this->updateExclusions(server);
     }
 }
 
+void ServerRegistry::replaceDomainsOut(std::span<const std::string> domains)
+{
+    for (const std::string &domain : domains) {
+        this->setDomainOut(domain, true);
+    }
+    std::vector<std::string> restored;
+    for (const std::string &domain : this->domainsOutOfService) {
+        if (!this->unconfirmedDomains.contains(domain) && std::find(domains.begin(), domains.end(), domain) == domains.end()) {
+            restored.push_back(domain);
+        }
+    }
+    for (const std::string &domain : restored) {
+        this->setDomainOut(domain, false);
+    }
+}
+
 void ServerRegistry::setInstance(const InstanceItem &instance)
 {
     this->instances[instance.name] = instance;
+    this->unconfirmedInstances.erase(instance.name);
 }
 
 void ServerRegistry::removeInstance(const std::string &name)
 {
     this->instances.erase(name);
+    this->unconfirmedInstances.erase(name);
 }
 
 void ServerRegistry::replaceInstances(std::span<const InstanceItem> instanceItems)
 {
-    this->instances.clear();
+    std::erase_if(this->instances, [this](const auto &each) { return !this->unconfirmedInstances.contains(each.first); });
     for (const InstanceItem &instanceItem : instanceItems) {
         this->setInstance(instanceItem);
     }
 }
 
+std::vector<InstanceItem> ServerRegistry::knownInstances() const
+{
+    std::vector<InstanceItem> known;
+    known.reserve(this->instances.size());
+    for (const auto &[name, instance] : this->instances) {
+        known.push_back(instance);
+    }
+    return known;
+}
+
+void ServerRegistry::beginEpoch(Instant now)
+{
+    this->onStoreRecovered(now);
+    for (auto &[id, server] : this->servers) {
+        if (server.expiresAt) {
+            server.expiresAt = this->graceEnd;
+        }
+        if (server.withheld) {
+            server.withheld = deadlineAt(now + this->options.serverSilence);
+        }
+    }
+    for (const std::string &domain : this->domainsOutOfService) {
+        this->unconfirmedDomains[domain] = deadlineAt(this->graceEnd);
+    }
+    for (const auto &[name, instance] : this->instances) {
+        this->unconfirmedInstances[name] = now + this->options.instanceGrace;
+    }
+}
+
 void ServerRegistry::onStoreRecovered(Instant now)
 {
     this->graceEnd = now + this->options.removalGrace;
@@ -184,31 +317,81 @@
     return std::max(this->graceEnd - now, Duration::zero());
 }
 
-bool ServerRegistry::dropExpired(Instant now)
+ExpiredEntries ServerRegistry::dropExpired(Instant now, Instant storeKnownAt)
 {
-    const std::size_t before = this->servers.size();
-    std::erase_if(this->servers, [this, now](const auto &each) {
-        const Server &server = each.second;
-        if (!server.expiresAt || now < *server.expiresAt) {
-            return false;
+    ExpiredEntries expired;
+    for (auto &[id, server] : this->servers) {
+        if (server.expiresAt && now >= *server.expiresAt) {
+            this->retire(server, now);
+            expired.servers.push_back(id);
         }
-        this->retire(server, now);
-        return true;
-    });
-    return this->servers.size() != before;
+    }
+    for (const std::string &id : expired.servers) {
+        this->servers.erase(id);
+    }
+    for (auto &[id, server] : this->servers) {
+        if (!server.withheld || !hasPassed(*server.withheld, now, storeKnownAt)) {
+            continue;
+        }
+        if (this->isAddressTaken(server.entry)) {
+            server.withheld = deadlineAt(now + this->options.serverSilence);
+            continue;
+        }
+        server.withheld.reset();
+        server.record->setExclusion(ServerRecord::gone, false);
+        expired.trustedServers.push_back(id);
+    }
+    for (auto &[domain, deadline] : this->unconfirmedDomains) {
+        if (hasPassed(deadline, now, storeKnownAt)) {
+            expired.domains.push_back(domain);
+        }
+    }
+    for (const std::string &domain : expired.domains) {
+        this->setDomainOut(domain, false);
+    }
+    for (const auto &[name, dropAt] : this->unconfirmedInstances) {
+        if (now >= dropAt) {
+            expired.instances.push_back(name);
+        }
+    }
+    for (const std::string &name : expired.instances) {
+        this->removeInstance(name);
+    }
+    return expired;
 }
 
 std::optional<Instant> ServerRegistry::nextExpiry() const
 {
     std::optional<Instant> next;
+    const auto consider = [&next](Instant when) { next = std::min(next.value_or(when), when); };
     for (const auto &[id, server] : this->servers) {
-        if (server.expiresAt && (!next || *server.expiresAt < *next)) {
-            next = server.expiresAt;
+        if (server.expiresAt) {
+            consider(*server.expiresAt);
+        }
+        if (server.withheld) {
+            consider(server.withheld->nextCheck);
         }
     }
+    for (const auto &[domain, deadline] : this->unconfirmedDomains) {
+        consider(deadline.nextCheck);
+    }
+    for (const auto &[name, dropAt] : this->unconfirmedInstances) {
+        consider(dropAt);
+    }
     return next;
 }
 
+UnconfirmedEntries ServerRegistry::unconfirmed() const
+{
+    const auto isUnconfirmed = [](const auto &each) {
+        const Server &server = each.second;
+        return server.expiresAt || server.withheld || server.drainingUnconfirmed;
+    };
+    return {.servers = static_cast<std::size_t>(std::count_if(this->servers.begin(), this->servers.end(), isUnconfirmed)),
+            .domains = this->unconfirmedDomains.size(),
+            .instances = this->unconfirmedInstances.size()};
+}
+
 int ServerRegistry::liveInstances() const
 {
     const bool listed = this->instances.contains(this->options.instance);
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -61,12 +61,7 @@
 {
     this->registerGauges();
     this->expiryTimer.setSingleShot(true);
-    connect(&this->expiryTimer, &QTimer::timeout, this, [this] {
-        if (this->registry.dropExpired(steadyNow())) {
-            this->rebuild();
-        }
-        this->scheduleExpiry();
-    });
+    connect(&this->expiryTimer, &QTimer::timeout, this, [this] { this->dropExpired(); });
 }
 
 void RouteControl::start()
@@ -262,37 +257,39 @@
 void RouteControl::replaceState(std::span<const StoreItem> items, StorePosition itemsPosition)
 {
     const bool beginsEpoch = this->position.revision > 0 && itemsPosition.epoch > this->position.epoch;
+    const Instant now = steadyNow();
     if (beginsEpoch) {
-        // Servers that are missing may have to write their entries again.
-        this->registry.onStoreRecovered(steadyNow());
+        // What is missing may have to be written again, and what stands there may have been taken back.
+        this->registry.beginEpoch(now);
+        this->copiedUpTo = itemsPosition.revision;
+        this->epochContentsSince = now;
     }
-    const std::set<std::string> previouslyOutOfService = std::exchange(this->domainsOutOfService, {});
     ListedItems listed;
     for (const StoreItem &item : items) {
         this->applyItem(item, &listed);
     }
-    this->registry.replaceAll(listed.servers, steadyNow());
+    this->registry.replaceAll(listed.servers, now, listed.copiedServers);
+    this->registry.replaceDomainsOut(listed.domainsOut);
     this->registry.replaceInstances(listed.instances);
-    this->changeFeed.replaceInstances(listed.instances);
-    for (const std::string &domain : previouslyOutOfService) {
-        if (!this->domainsOutOfService.contains(domain)) {
-            this->registry.setDomainOut(domain, false);
-        }
-    }
+    this->changeFeed.replaceInstances(this->registry.knownInstances());
     const StorePosition before = std::exchange(this->position, itemsPosition);
-    this->positionKnownSince = steadyNow();
+    this->positionKnownSince = now;
     this->rebuild();
-    this->scheduleExpiry();
     this->updateDesiredPeers();
     if (beginsEpoch) {
+        const UnconfirmedEntries kept = this->registry.unconfirmed();
         const Duration catchUp = steadyNow() - this->epochKnownSince;
         this->epochCatchUp.record(catchUp);
         logEvent(LogLevel::info,
                  "store-epoch-applied",
                  {{.key = "position", .value = toText(this->position)},
                   {.key = "before", .value = toText(before)},
-                  {.key = "known_ms_ago", .value = std::to_string(toMs(catchUp))}});
+                  {.key = "known_ms_ago", .value = std::to_string(toMs(catchUp))},
+                  {.key = "unconfirmed_servers", .value = std::to_string(kept.servers)},
+                  {.key = "unconfirmed_domains", .value = std::to_string(kept.domains)},
+                  {.key = "unconfirmed_instances", .value = std::to_string(kept.instances)}});
     }
+    this->scheduleExpiry();
 }
 
 void RouteControl::watch()
@@ -415,7 +412,7 @@
                 [&](const RoutesItem &decoded) { this->applyRoutes(decoded, item.revision); },
                 [&](const ServerItem &decoded) {
                     if (listed != nullptr) {
-                        listed->servers.push_back(decoded.entry);
+                        (item.revision <= this->copiedUpTo ? listed->copiedServers : listed->servers).push_back(decoded.entry);
                     } else if (this->registry.set(decoded.entry, now)) {
                         this->rebuildNeeded = true;
                         logEvent(LogLevel::info,
@@ -429,8 +426,11 @@
                     }
                 },
                 [&](const DomainOutItem &decoded) {
-                    this->domainsOutOfService.insert(decoded.domain);
-                    this->registry.setDomainOut(decoded.domain, true);
+                    if (listed != nullptr) {
+                        listed->domainsOut.push_back(decoded.domain);
+                    } else {
+                        this->registry.setDomainOut(decoded.domain, true);
+                    }
                     this->rebuildNeeded = true;
                     logEvent(LogLevel::info,
                              "domain-out",
@@ -462,7 +462,6 @@
                            logEvent(LogLevel::info, gone ? "server-gone" : "server-missing", {{.key = "server", .value = removed.id}});
                        },
                        [&](const DomainRestored &back) {
-                           this->domainsOutOfService.erase(back.domain);
                            this->registry.setDomainOut(back.domain, false);
                            this->rebuildNeeded = true;
                            logEvent(LogLevel::info, "domain-back", {{.key = "domain", .value = back.domain}});
@@ -530,8 +529,45 @@
     }
 }
 
+void RouteControl::dropExpired()
+{
+    const ExpiredEntries expired = this->registry.dropExpired(steadyNow(), this->changeFeed.confirmedAt().value_or(Instant()));
+    if (expired) {
+        logEvent(LogLevel::info,
+                 "entries-not-written-again",
+                 {{.key = "servers", .value = std::to_string(expired.servers.size())},
+                  {.key = "servers_trusted", .value = std::to_string(expired.trustedServers.size())},
+                  {.key = "domains", .value = std::to_string(expired.domains.size())},
+                  {.key = "instances", .value = std::to_string(expired.instances.size())}});
+        for (const std::string &domain : expired.domains) {
+            logEvent(LogLevel::warning, "domain-back", {{.key = "domain", .value = domain}, {.key = "cause", .value = "not ordered again"}});
+        }
+        if (!expired.instances.empty()) {
+            this->changeFeed.replaceInstances(this->registry.knownInstances());
+        }
+        this->rebuild();
+    }
+    this->scheduleExpiry();
+}
+
+void RouteControl::updateUnconfirmed()
+{
+    const UnconfirmedEntries unconfirmed = this->registry.unconfirmed();
+    this->gauges.unconfirmedServers.store(unconfirmed.servers);
+    this->gauges.unconfirmedDomains.store(unconfirmed.domains);
+    this->gauges.unconfirmedInstances.store(unconfirmed.instances);
+    if (this->epochContentsSince && !unconfirmed.any()) {
+        logEvent(LogLevel::info,
+                 "store-epoch-confirmed",
+                 {{.key = "position", .value = toText(this->position)},
+                  {.key = "after_ms", .value = std::to_string(toMs(steadyNow() - *this->epochContentsSince))}});
+        this->epochContentsSince.reset();
+    }
+}
+
 void RouteControl::scheduleExpiry()
 {
+    this->updateUnconfirmed();
     if (const std::optional<Instant> next = this->registry.nextExpiry()) {
         this->expiryTimer.start(milliseconds(std::max(*next - steadyNow(), Duration::zero()) + std::chrono::milliseconds(1)));
     }
--- a/lib/Runtime/RouteControlPeers.cpp
+++ b/lib/Runtime/RouteControlPeers.cpp
@@ -288,6 +288,9 @@
     metrics.gauge("ragwort_store_revision", {}, [this] { return static_cast<double>(this->gauges.revision.load()); });
     metrics.gauge("ragwort_store_epoch", {}, [this] { return static_cast<double>(this->gauges.epoch.load()); });
     metrics.gauge("ragwort_store_distance", {}, [this] { return static_cast<double>(this->gauges.distance.load()); });
+    metrics.gauge("ragwort_unconfirmed_entries", "kind=\"server\"", [this] { return static_cast<double>(this->gauges.unconfirmedServers.load()); });
+    metrics.gauge("ragwort_unconfirmed_entries", "kind=\"domain\"", [this] { return static_cast<double>(this->gauges.unconfirmedDomains.load()); });
+    metrics.gauge("ragwort_unconfirmed_entries", "kind=\"instance\"", [this] { return static_cast<double>(this->gauges.unconfirmedInstances.load()); });
     metrics.gauge("ragwort_store_confirmed_age_seconds", {}, [this] {
         const std::int64_t confirmedAtUs = this->gauges.confirmedAtUs.load();
         return confirmedAtUs == 0 ? -1.0 : static_cast<double>(steadyNow().time_since_epoch().count() - confirmedAtUs) / 1e6;
--- a/lib/Runtime/RouteProcess.cpp
+++ b/lib/Runtime/RouteProcess.cpp
@@ -32,6 +32,8 @@
                .extraLoad = this->options.settings.extraLoad,
                .registry = {.instance = this->options.settings.instance,
                             .domain = this->options.settings.domain,
+                            .removalGrace = this->options.settings.removalGrace,
+                            .serverSilence = this->options.settings.serverSilence,
                             .capacity = this->options.settings.capacity,
                             .coldRateFactor = this->options.settings.coldRateFactor,
                             .coldRateAddition = this->options.settings.coldRateAddition},
--- a/unittests/Platform/RouteProcessHarness.h
+++ b/unittests/Platform/RouteProcessHarness.h
@@ -56,7 +56,9 @@
                                                                                           .peersAddress = "127.0.0.1:" + std::to_string(PEERS_PORT),
                                                                                           .stopTimeout = std::chrono::seconds(2),
                                                                                           .capacity = this->ownCapacity(),
-                                                                                          .firstStart = this->firstStart()},
+                                                                                          .firstStart = this->firstStart(),
+                                                                                          .removalGrace = this->removalGrace(),
+                                                                                          .serverSilence = this->serverSilence()},
                                                                              .store = *this->client,
                                                                              .storeFormat = this->format,
                                                                              .callerProtocol = this->callers,
@@ -88,6 +90,16 @@
         return false;
     }
 
+    /// How long the instances believe what a restored store has lost, and doubt servers that it has brought back.
+    virtual Duration removalGrace() const
+    {
+        return RouteProcessSettings().removalGrace;
+    }
+    virtual Duration serverSilence() const
+    {
+        return RouteProcessSettings().serverSilence;
+    }
+
     /// Starts another instance in the same failure domain. Peer numbers start at 2.
     void startPeer(int number, double capacity = 0.0)
     {
@@ -102,7 +114,9 @@
                                                                                          .peersAddress = address(PEERS_PORT),
                                                                                          .stopTimeout = std::chrono::seconds(2),
                                                                                          .capacity = capacity,
-                                                                                         .firstStart = this->firstStart()},
+                                                                                         .firstStart = this->firstStart(),
+                                                                                         .removalGrace = this->removalGrace(),
+                                                                                         .serverSilence = this->serverSilence()},
                                                                             .store = *peer.client,
                                                                             .storeFormat = this->format,
                                                                             .callerProtocol = this->callers,
--- a/unittests/Platform/SettingsTest.cpp
+++ b/unittests/Platform/SettingsTest.cpp
@@ -38,6 +38,13 @@
     }
 }
 
+/// Guards against trust in the entries of dead servers on a platform that removes them later than by default.
+TEST(PlatformSettingsTest, serversAreSilentForThreeHeartbeats)
+{
+    EXPECT_EQ(parseSettings(VALID_SETTINGS, 9464).settings.serverSilence, std::chrono::milliseconds(3600));
+    EXPECT_EQ(parseSettings(VALID_SETTINGS + "heartbeat_ms=2500\n", 9464).settings.serverSilence, std::chrono::milliseconds(7500));
+}
+
 TEST(PlatformSettingsTest, peerAddressUsesFirstPortOfRange)
 {
     EXPECT_EQ(parseSettings(VALID_SETTINGS + "port_range=7740,7755\n", 9464).settings.peersAddress, "10.0.0.1:7740");
