OrdinalManager: a table from an older copy of the store is no stale read for ever

A table of ordinals with a lower index than the known one was ignored for ever. If the key-value store comes back from an older copy, an instance that had acquired its ordinal since goes on with it, although the store gives it to another one: two instances hold one ordinal, until the table's index has passed the old one. An instance without an ordinal never acquires one meanwhile, as its writes expect an index that is gone.

Now such a table ends the own ordinal at once if it does not name it, and counts as the store's latest once reads have stated an older one for 2.5 s, within which every instance that reaches the store must have read it. Until then nothing is acquired from it, and it gives back no ordinal. Late answers, known by the time of their request, are ignored as before. Logged as seat-table-older and seat-table-settled.

OrdinalManagerTest on the code before: anOlderTableWithoutTheOwnOrdinalEndsItAtOnce, anOlderTableThatLastsIsTaken and anOlderTableGivesNoOrdinalBeforeOthersMustHaveReadIt fail, staleReadsThatDoNotLastAreNotTaken passes; all pass with the change. ControlTests: 113 passed.

--- a/include/ragwortcart/Control/OrdinalManager.h
+++ b/include/ragwortcart/Control/OrdinalManager.h
@@ -38,6 +38,10 @@
 /// How long a new holder waits before it owns warm-ups; longer than any earlier copy of the table stays valid.
 inline constexpr Duration ORDINAL_SETTLE_TIME = std::chrono::seconds(5);
 
+/// How long the store must state an older table than the one known before that counts as the store's latest, as after its return from an older
+/// copy. Until then it may be a stale read. Longer than every instance with access to the store needs to read the table.
+inline constexpr Duration ORDINAL_RESTORE_DELAY = std::chrono::milliseconds(2500);
+
 struct OrdinalWrite
 {
     std::string value;
@@ -52,13 +56,16 @@
 
     /// Updates the table from a read requested at \p requestedAt; \p index is its modify index, 0 if no table exists
     /// yet.
+    ///
+    /// An index that went back may be a stale read or a store that was restored from an older copy. Such a table ends the own ordinal at once if it
+    /// does not name it, and is taken, with all that it gives, once reads have stated one for `ORDINAL_RESTORE_DELAY`.
     void updateTable(const OrdinalTable &newTable, std::uint64_t index, Instant requestedAt);
 
     /// Updates the platform's instance list.
     void updateLiveInstances(const std::set<std::string> &live, Instant now);
 
     /// Returns the write with which this instance acquires an ordinal below \p ordinalCount. Returns nullopt if it
-    /// holds one, if none is free, or before both the table and the instance list are known.
+    /// holds one, if none is free, while an older table is in doubt, or before both the table and the instance list are known.
     std::optional<OrdinalWrite> acquireWrite(int ordinalCount, Instant now) const;
 
     /// Returns the write that releases the ordinal at the end of a graceful shutdown, or nullopt if this instance holds
@@ -71,6 +78,12 @@
         return this->ownOrdinal;
     }
 
+    /// Returns whether the last read stated an older table than the known one, so that the store may have been restored.
+    bool inDoubt() const
+    {
+        return this->olderSince.has_value();
+    }
+
     /// Returns the time until which this instance owns the warm-up of a server, or the clock's epoch if it does not.
     ///
     /// The owner is the holder of the ordinal to which the server's hash maps, without a time limit. If that ordinal is
@@ -80,6 +93,9 @@
     Instant ownsWarmUpUntil(std::string_view serverId, int ordinalCount, Instant now) const;
 
 private:
+    /// Returns whether a table with a lower index than the known one counts as the store's latest. Ends the own ordinal if the table does not
+    /// name it.
+    bool takesOlderTable(const OrdinalTable &older, Instant requestedAt);
     std::optional<int> findFreeOrdinal(int ordinalCount, Instant now) const;
 
     std::string instance;
@@ -90,6 +106,8 @@
     int ownOrdinal = -1;
     Instant ordinalAcquiredAt{};
     Instant tableRequestedAt{};
+    /// When a table with a lower index was first read; nothing if the last read was not one.
+    std::optional<Instant> olderSince;
     /// When a holder of an ordinal was first missing from the list.
     std::map<std::string, Instant> missingSince;
     std::set<std::string> everListed;
--- a/lib/Control/OrdinalManager.cpp
+++ b/lib/Control/OrdinalManager.cpp
@@ -41,10 +41,10 @@
 
 void OrdinalManager::updateTable(const OrdinalTable &newTable, std::uint64_t index, Instant requestedAt)
 {
-    if (this->tableKnown && index < this->tableIndex) {
-        // A stale read must not restore an ordinal that has been reassigned.
+    if (this->tableKnown && index < this->tableIndex && !this->takesOlderTable(newTable, requestedAt)) {
         return;
     }
+    this->olderSince.reset();
     this->table = newTable;
     this->tableIndex = index;
     this->tableKnown = true;
@@ -60,6 +60,26 @@
     }
 }
 
+bool OrdinalManager::takesOlderTable(const OrdinalTable &older, Instant requestedAt)
+{
+    if (requestedAt <= this->tableRequestedAt) {
+        // A late answer.
+        return false;
+    }
+    if (!this->olderSince) {
+        this->olderSince = requestedAt;
+    }
+    if (requestedAt - *this->olderSince >= ORDINAL_RESTORE_DELAY) {
+        return true;
+    }
+    // A stale read must not restore an ordinal that has been reassigned; a restored store may assign the own one again.
+    const auto own = older.find(this->ownOrdinal);
+    if (own == older.end() || own->second != this->instance) {
+        this->ownOrdinal = -1;
+    }
+    return false;
+}
+
 void OrdinalManager::updateLiveInstances(const std::set<std::string> &live, Instant now)
 {
     this->listKnown = true;
@@ -94,7 +114,7 @@
 
 std::optional<OrdinalWrite> OrdinalManager::acquireWrite(int ordinalCount, Instant now) const
 {
-    if (!this->tableKnown || !this->listKnown || this->ownOrdinal >= 0) {
+    if (!this->tableKnown || !this->listKnown || this->ownOrdinal >= 0 || this->olderSince) {
         return std::nullopt;
     }
     const std::optional<int> ordinal = this->findFreeOrdinal(ordinalCount, now);
--- a/lib/Runtime/ControlPlatform.cpp
+++ b/lib/Runtime/ControlPlatform.cpp
@@ -160,7 +160,14 @@
         return;
     }
     const int before = this->ordinals.ordinal();
-    this->ordinals.updateTable(*table, absent ? 0 : values.entries.front().modifyIndex, requestedAt);
+    const bool inDoubtBefore = this->ordinals.inDoubt();
+    const std::uint64_t index = absent ? 0 : values.entries.front().modifyIndex;
+    this->ordinals.updateTable(*table, index, requestedAt);
+    if (this->ordinals.inDoubt() != inDoubtBefore) {
+        logEvent(LogLevel::warning,
+                 this->ordinals.inDoubt() ? "seat-table-older" : "seat-table-settled",
+                 {{.key = "index", .value = std::to_string(index)}, {.key = "number", .value = std::to_string(this->ordinals.ordinal())}});
+    }
     if (this->ordinals.ordinal() != before) {
         logEvent(LogLevel::info, "seat", {{.key = "number", .value = std::to_string(this->ordinals.ordinal())}});
     }
--- a/unittests/Control/OrdinalManagerTest.cpp
+++ b/unittests/Control/OrdinalManagerTest.cpp
@@ -71,6 +71,61 @@
     EXPECT_EQ(manager.ordinal(), -1);
 }
 
+/// Guards against a store that comes back from an older copy: the table without this instance was taken for a stale read for ever, so that the
+/// instance went on with an ordinal that another one had been given since.
+TEST(OrdinalManagerTest, anOlderTableWithoutTheOwnOrdinalEndsItAtOnce)
+{
+    OrdinalManager manager("a");
+    manager.updateTable({{0, "a"}, {1, "b"}}, 7, at(10));
+    ASSERT_EQ(manager.ordinal(), 0);
+    manager.updateTable({{1, "b"}}, 5, at(11));
+    EXPECT_EQ(manager.ordinal(), -1);
+    EXPECT_FALSE(manager.releaseWrite());
+}
+
+/// Guards against the same: an instance whose ordinal was lost with the changes since the copy never acquired one again, because each of its writes
+/// expected an index that the store had no longer.
+TEST(OrdinalManagerTest, anOlderTableThatLastsIsTaken)
+{
+    OrdinalManager manager("a");
+    manager.updateLiveInstances({"a", "b"}, at(10));
+    manager.updateTable({{0, "a"}, {1, "b"}}, 7, at(10));
+    manager.updateTable({{1, "b"}}, 5, at(11));
+    EXPECT_FALSE(manager.acquireWrite(2, at(11))) << "it is not known whether the table is the store's latest";
+    manager.updateTable({{1, "b"}}, 5, at(11) + ORDINAL_RESTORE_DELAY);
+    const std::optional<OrdinalWrite> write = manager.acquireWrite(2, at(14));
+    ASSERT_TRUE(write);
+    EXPECT_EQ(write->expectedIndex, 5U);
+    manager.updateTable(*decodeOrdinals(write->value), 6, at(14));
+    EXPECT_EQ(manager.ordinal(), 0);
+}
+
+/// Guards against an ordinal that comes back with an older table while its holder of the lost table may still use it.
+TEST(OrdinalManagerTest, anOlderTableGivesNoOrdinalBeforeOthersMustHaveReadIt)
+{
+    OrdinalManager manager("a");
+    manager.updateTable({{0, "b"}}, 7, at(10));
+    manager.updateTable({{0, "a"}}, 5, at(11));
+    EXPECT_EQ(manager.ordinal(), -1);
+    manager.updateTable({{0, "a"}}, 5, at(11) + ORDINAL_RESTORE_DELAY - std::chrono::milliseconds(1));
+    EXPECT_EQ(manager.ordinal(), -1);
+    manager.updateTable({{0, "a"}}, 5, at(11) + ORDINAL_RESTORE_DELAY);
+    EXPECT_EQ(manager.ordinal(), 0);
+}
+
+/// A read from a copy that lags costs no ordinal that it also names, and is forgotten with the next read of the latest table.
+TEST(OrdinalManagerTest, staleReadsThatDoNotLastAreNotTaken)
+{
+    OrdinalManager manager("a");
+    manager.updateTable({{0, "a"}, {1, "b"}}, 7, at(10));
+    manager.updateTable({{0, "a"}}, 5, at(11));
+    EXPECT_EQ(manager.ordinal(), 0);
+    manager.updateTable({{0, "a"}, {1, "b"}}, 7, at(12));
+    manager.updateTable({{0, "a"}}, 5, at(14));
+    EXPECT_EQ(manager.ordinal(), 0);
+    EXPECT_EQ(decodeOrdinals(manager.releaseWrite()->value)->size(), 1U) << "the latest table is still the one with two holders";
+}
+
 TEST(OrdinalManagerTest, releaseRemovesOnlyTheOwnOrdinal)
 {
     OrdinalManager manager("a");
