PlatformClient: a 404 that states no index is not the store's word that a key is missing

A response with status 404 counted as a key that does not exist, with index 0, whoever sent it. Since a table of ordinals with a lower index may end the own ordinal at once, a 404 of whatever else answers at the store's address for a moment would have cost an instance its ordinal, and with it all requests. Such a response is now an error, as any other status is; the store's own 404 states X-Consul-Index.

PlatformClientTest.takesAMissingKeyOnlyFromTheStoreItself fails on the code before (a 404 without the field, and one whose index is no number, were taken) and passes.

--- a/lib/Wire/PlatformClient.cpp
+++ b/lib/Wire/PlatformClient.cpp
@@ -70,10 +70,11 @@
     return reply.rawHeader("X-Consul-Index").toULongLong();
 }
 
-/// A response with status 404 means that no key matches.
+/// A response with status 404 means that no key matches, if it states an index as the store does. Another one may be of whatever else answers at
+/// the address, and tells nothing of the key.
 static Result<KeyValues> parseKeys(QNetworkReply &reply, const std::string &peer)
 {
-    if (statusOf(reply) == HTTP_NOT_FOUND) {
+    if (statusOf(reply) == HTTP_NOT_FOUND && indexOf(reply) != 0) {
         return KeyValues{.entries = {}, .index = indexOf(reply)};
     }
     if (!succeeded(reply)) {
--- a/unittests/Wire/PlatformClientTest.cpp
+++ b/unittests/Wire/PlatformClientTest.cpp
@@ -184,6 +184,24 @@
     }
 }
 
+/// Guards against a 404 that is not the store's: it was taken for a key that does not exist, with index 0, so that a table that stands in the store
+/// counted as lost.
+TEST_F(PlatformClientTest, takesAMissingKeyOnlyFromTheStoreItself)
+{
+    const RawResponseServer stranger("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+    this->client = std::make_unique<PlatformClient>(PlatformClient::Options{.address = stranger.address()});
+    EXPECT_FALSE(this->readKey());
+    const RawResponseServer damaged("HTTP/1.1 404 Not Found\r\nX-Consul-Index: x\r\nContent-Length: 0\r\n\r\n");
+    this->client = std::make_unique<PlatformClient>(PlatformClient::Options{.address = damaged.address()});
+    EXPECT_FALSE(this->readKey());
+    const RawResponseServer store("HTTP/1.1 404 Not Found\r\nX-Consul-Index: 7\r\nContent-Length: 0\r\n\r\n");
+    this->client = std::make_unique<PlatformClient>(PlatformClient::Options{.address = store.address()});
+    const Result<KeyValues> missing = this->readKey();
+    ASSERT_TRUE(missing);
+    EXPECT_TRUE(missing->entries.empty());
+    EXPECT_EQ(missing->index, 7U);
+}
+
 /// Guards against a write that is reported as refused because the response does not say that it was done.
 TEST_F(PlatformClientTest, takesOnlyTheWordsOfTheStoreForTheOutcomeOfAWrite)
 {
