ClaimManager: a claim that the store has lost is not granted again by the instance that knows of it

If the store comes back from a copy from before a claim, its key is free there: the same instance granted it again and the action ran twice; an outcome whose write met the lost claim was dropped without a word. Now a manager remembers what it granted for the retention time of a claim, adds what a bucket lacks to what it reads, and writes it again, outcomes too.

ClaimManagerTest on the code before: grantsAKeyOnceAlthoughTheStoreLostItsClaim, writesClaimsAgainThatTheStoreLost and recordsAnOutcomeAlthoughTheStoreLostTheClaim fail, forgetsReleasedAndExpiredClaims passes; all pass with the change.

--- a/include/ragwortcart/Control/ClaimManager.h
+++ b/include/ragwortcart/Control/ClaimManager.h
@@ -4,6 +4,9 @@
 /// A claim is an entry in one of a fixed number of buckets in the platform's store. Claims that arrive while a bucket
 /// is being written are batched into its next write. Every write is a compare-and-swap. After a failed or unanswered
 /// write the bucket is read back, and a claim is then granted only if its token is found there.
+///
+/// A store that comes back from an older copy has lost what was claimed since. Each manager remembers the claims that it granted, and writes those
+/// again that a bucket lacks when it is read next.
 #ifndef RAGWORTCART_CONTROL_CLAIMMANAGER_H
 #define RAGWORTCART_CONTROL_CLAIMMANAGER_H
 
@@ -87,6 +90,8 @@
     std::uint64_t reads = 0;
     std::uint64_t conflicts = 0;
     std::uint64_t unknownWrites = 0;
+    /// Claims and outcomes that the store lacked when a bucket was read, although it had acknowledged them.
+    std::uint64_t lost = 0;
     /// Pending operations.
     std::size_t open = 0;
 };
@@ -165,13 +170,19 @@
     bool resolveClaim(Operation &operation, ClaimTable &claims, Instant now, std::int64_t wallMs, bool &done);
     void resolveHeldClaim(Operation &operation, Instant now, bool &done);
     void deliver(Operation &operation, ClaimVerdict verdict, const std::string &outcome = {});
-    void grant(Operation &operation);
+    void grant(Operation &operation, std::int64_t wallMs);
+    /// Adds to \p claims what this manager remembers and the bucket lacks. Returns true if that requires a write.
+    bool addRemembered(int bucketNumber, ClaimTable &claims, std::int64_t wallMs);
+    /// Remembers that the store holds the outcome of a claim.
+    void rememberOutcome(const Operation &operation);
 
     std::string tokenPrefix;
     std::uint64_t tokenCount = 0;
     std::map<int, Bucket> buckets;
     /// Claims that this instance holds and whose outcome is not yet recorded, by query.
     std::map<QueryId, Granted> granted;
+    /// Claims that were granted and not released, by bucket, until they expire. The store has held all of them, so that its limits bound their size.
+    std::map<int, ClaimTable> remembered;
     std::vector<ClaimAction> actions;
     ClaimManagerStatus counts;
 };
--- a/lib/Control/ClaimManager.cpp
+++ b/lib/Control/ClaimManager.cpp
@@ -95,6 +95,9 @@
         return;
     }
     const int bucketNumber = claimBucket(claim.key);
+    if (outcome.state == RunState::notRun) {
+        std::erase_if(this->remembered[bucketNumber], [&claim](const auto &entry) { return entry.first == claim.key && entry.second.token == claim.token; });
+    }
     const OperationKind kind = outcome.state == RunState::ran ? OperationKind::complete : OperationKind::release;
     this->buckets[bucketNumber].operations.push_back({.kind = kind,
                                                       .query = outcome.query,
@@ -136,12 +139,46 @@
     this->applyOperations(bucketNumber, *claims, content->index, now, wallMs);
 }
 
+static void eraseExpired(ClaimTable &claims, std::int64_t wallMs)
+{
+    std::erase_if(claims, [wallMs](const auto &entry) { return entry.second.claimedAtMs + CLAIM_RETENTION_MS < wallMs; });
+}
+
+bool ClaimManager::addRemembered(int bucketNumber, ClaimTable &claims, std::int64_t wallMs)
+{
+    ClaimTable &known = this->remembered[bucketNumber];
+    eraseExpired(known, wallMs);
+    bool added = false;
+    for (const auto &[key, claim] : known) {
+        const auto [found, isMissing] = claims.try_emplace(key, claim);
+        const bool lacksOutcome = found->second.token == claim.token && claim.ran && !found->second.ran;
+        if (lacksOutcome) {
+            found->second = claim;
+        }
+        if (isMissing || lacksOutcome) {
+            ++this->counts.lost;
+            added = true;
+        }
+    }
+    return added;
+}
+
+void ClaimManager::rememberOutcome(const Operation &operation)
+{
+    ClaimTable &known = this->remembered[claimBucket(operation.key)];
+    const auto found = known.find(operation.key);
+    if (found != known.end() && found->second.token == operation.token) {
+        found->second.ran = true;
+        found->second.outcome = operation.outcome;
+    }
+}
+
 void ClaimManager::applyOperations(int bucketNumber, ClaimTable &claims, std::uint64_t index, Instant now, std::int64_t wallMs)
 {
     Bucket &bucket = this->buckets[bucketNumber];
-    std::erase_if(claims, [wallMs](const auto &entry) { return entry.second.claimedAtMs + CLAIM_RETENTION_MS < wallMs; });
+    eraseExpired(claims, wallMs);
     std::vector<Operation> remaining;
-    bool needsWrite = false;
+    bool needsWrite = this->addRemembered(bucketNumber, claims, wallMs);
     for (Operation &operation : bucket.operations) {
         bool done = false;
         const bool writes = this->resolve(operation, claims, now, wallMs, done);
@@ -192,6 +229,7 @@
         return true;
     }
     if (found->second.ran) {
+        this->rememberOutcome(operation);
         done = true;
         return false;
     }
@@ -218,7 +256,7 @@
             claims.erase(found);
             return true;
         }
-        this->grant(operation);
+        this->grant(operation, wallMs);
         done = true;
         return false;
     }
@@ -247,9 +285,11 @@
     this->deliver(operation, ClaimVerdict::heldElsewhere);
 }
 
-void ClaimManager::grant(Operation &operation)
+void ClaimManager::grant(Operation &operation, std::int64_t wallMs)
 {
     this->granted[operation.query] = {.key = operation.key, .token = operation.token};
+    this->remembered[claimBucket(operation.key)][operation.key]
+        = {.token = operation.token, .fingerprint = operation.fingerprint, .claimedAtMs = wallMs, .ran = false, .outcome = {}};
     ++this->counts.granted;
     this->deliver(operation, ClaimVerdict::granted);
 }
@@ -264,7 +304,6 @@
 
 void ClaimManager::onBucketWritten(int bucketNumber, BucketWriteOutcome outcome, Instant now, std::int64_t wallMs)
 {
-    (void)wallMs;
     Bucket &bucket = this->buckets[bucketNumber];
     if (bucket.phase != BucketPhase::writing) {
         return;
@@ -279,13 +318,16 @@
             }
             operation.inWrite = false;
             if (operation.kind != OperationKind::claim) {
+                if (operation.kind == OperationKind::complete) {
+                    this->rememberOutcome(operation);
+                }
                 continue;
             }
             if (operation.abandoned) {
                 remaining.push_back(std::move(operation));
                 continue;
             }
-            this->grant(operation);
+            this->grant(operation, wallMs);
         }
         bucket.operations = std::move(remaining);
         this->startReadIfDue(bucketNumber, now);
--- a/lib/Runtime/ControlClaims.cpp
+++ b/lib/Runtime/ControlClaims.cpp
@@ -3,6 +3,7 @@
 #include "ragwortcart/Runtime/ControlPlane.h"
 
 #include "ControlTimers.h"
+#include "ragwortcart/Support/Log.h"
 
 namespace ragwort {
 
@@ -37,7 +38,13 @@
             content = absent ? ClaimManager::BucketContent{}
                              : ClaimManager::BucketContent{.json = values->entries.front().value.toStdString(), .index = values->entries.front().modifyIndex};
         }
+        const std::uint64_t lostBefore = this->claims.status().lost;
         this->claims.onBucketRead(bucket, content, steadyNow(), wallClockMs());
+        if (const std::uint64_t lost = this->claims.status().lost - lostBefore; lost > 0) {
+            logEvent(LogLevel::warning,
+                     "claims-lost-by-store",
+                     {{.key = "bucket", .value = std::to_string(bucket)}, {.key = "claims", .value = std::to_string(lost)}});
+        }
         this->performClaimActions();
     });
 }
--- a/lib/Runtime/ControlDump.cpp
+++ b/lib/Runtime/ControlDump.cpp
@@ -40,6 +40,7 @@
                                   {"reads", static_cast<qint64>(claimStatus.reads)},
                                   {"conflicts", static_cast<qint64>(claimStatus.conflicts)},
                                   {"unknown_writes", static_cast<qint64>(claimStatus.unknownWrites)},
+                                  {"lost_by_store", static_cast<qint64>(claimStatus.lost)},
                                   {"open", static_cast<qint64>(claimStatus.open)}};
     QJsonArray peers;
     for (const std::string &peer : this->exchange.links()) {
--- a/unittests/Control/ClaimManagerTest.cpp
+++ b/unittests/Control/ClaimManagerTest.cpp
@@ -21,7 +21,7 @@
 
     void claim(QueryId query, const std::string &key, std::uint64_t fingerprint = 1, Duration timeLeft = std::chrono::milliseconds(200))
     {
-        this->manager.request({.query = query, .team = "t", .key = key, .fingerprint = fingerprint, .deadline = this->now + timeLeft}, this->now, WALL_MS);
+        this->manager.request({.query = query, .team = "t", .key = key, .fingerprint = fingerprint, .deadline = this->now + timeLeft}, this->now, this->wallMs);
     }
 
     /// Performs the requested store calls one at a time until none is left.
@@ -47,7 +47,7 @@
     void advanceTime(Duration time)
     {
         this->now += time;
-        this->manager.advance(this->now, WALL_MS);
+        this->manager.advance(this->now, this->wallMs);
     }
 
     void perform(const ClaimAction &action, WriteFault fault)
@@ -58,7 +58,7 @@
                 const auto entry = this->store.get(bucketKey(read->bucket));
                 content = entry ? ClaimManager::BucketContent{.json = entry->value, .index = entry->modifyIndex} : ClaimManager::BucketContent{};
             }
-            this->manager.onBucketRead(read->bucket, content, this->now, WALL_MS);
+            this->manager.onBucketRead(read->bucket, content, this->now, this->wallMs);
         } else if (const auto *write = std::get_if<WriteBucket>(&action)) {
             this->write(*write, fault);
         } else {
@@ -80,7 +80,7 @@
                 outcome = written ? BucketWriteOutcome::written : BucketWriteOutcome::conflict;
             }
         }
-        this->manager.onBucketWritten(write.bucket, outcome, this->now, WALL_MS);
+        this->manager.onBucketWritten(write.bucket, outcome, this->now, this->wallMs);
     }
 
     static std::string bucketKey(int bucket)
@@ -96,6 +96,7 @@
     FakeStore &store;
     ClaimManager manager;
     Instant now{std::chrono::seconds(1)};
+    std::int64_t wallMs = WALL_MS;
     std::map<QueryId, ClaimDecided> verdicts;
     std::function<bool()> delayedWrite;
     bool outage = false;
@@ -273,6 +274,90 @@
     EXPECT_EQ(first.verdict(1), ClaimVerdict::granted);
 }
 
+/// Guards against a store that comes back from an older copy, without a claim whose action was sent since: the same instance granted the key again,
+/// and the action ran twice.
+TEST(ClaimManagerTest, grantsAKeyOnceAlthoughTheStoreLostItsClaim)
+{
+    FakeStore store;
+    const FakeStore copy = store;
+    ClaimManagerHarness first(store, "a");
+    first.claim(1, "key");
+    first.run();
+    ASSERT_EQ(first.verdict(1), ClaimVerdict::granted);
+    first.manager.recordOutcome({.query = 1, .state = RunState::outcomeUnknown, .outcome = {}}, first.now, WALL_MS);
+    first.run();
+    store = copy;
+    first.claim(2, "key");
+    first.settle();
+    EXPECT_EQ(first.verdict(2), ClaimVerdict::heldElsewhere);
+}
+
+/// Guards against the same for other instances: what the store lost is written again by the instance that remembers it, with the outcome.
+TEST(ClaimManagerTest, writesClaimsAgainThatTheStoreLost)
+{
+    FakeStore store;
+    ClaimManagerHarness first(store, "a");
+    ClaimManagerHarness second(store, "b");
+    first.claim(1, "key");
+    first.run();
+    const FakeStore claimed = store;
+    first.manager.recordOutcome({.query = 1, .state = RunState::ran, .outcome = "done"}, first.now, WALL_MS);
+    first.run();
+    for (const FakeStore &copy : {FakeStore(), claimed}) {
+        store = copy;
+        first.verdicts.clear();
+        second.verdicts.clear();
+        first.claim(2, "key");
+        first.settle();
+        EXPECT_EQ(first.verdict(2), ClaimVerdict::alreadyRan);
+        EXPECT_EQ(first.verdicts.at(2).recordedOutcome, "done");
+        second.claim(3, "key");
+        second.settle();
+        EXPECT_EQ(second.verdict(3), ClaimVerdict::alreadyRan);
+        EXPECT_EQ(second.verdicts.at(3).recordedOutcome, "done");
+    }
+}
+
+/// What was released may be claimed again, whatever the store lost; what is remembered ends with the retention time.
+TEST(ClaimManagerTest, forgetsReleasedAndExpiredClaims)
+{
+    FakeStore store;
+    const FakeStore copy = store;
+    ClaimManagerHarness first(store, "a");
+    first.claim(1, "key");
+    first.claim(2, "old");
+    first.run();
+    first.manager.recordOutcome({.query = 1, .state = RunState::notRun, .outcome = {}}, first.now, WALL_MS);
+    first.run();
+    store = copy;
+    first.claim(3, "key");
+    first.settle();
+    EXPECT_EQ(first.verdict(3), ClaimVerdict::granted);
+    first.wallMs += CLAIM_RETENTION_MS + 1;
+    first.claim(4, "old");
+    first.settle();
+    EXPECT_EQ(first.verdict(4), ClaimVerdict::granted);
+}
+
+/// An outcome whose write failed before the store lost the claim is recorded all the same.
+TEST(ClaimManagerTest, recordsAnOutcomeAlthoughTheStoreLostTheClaim)
+{
+    FakeStore store;
+    const FakeStore copy = store;
+    ClaimManagerHarness first(store, "a");
+    ClaimManagerHarness second(store, "b");
+    first.claim(1, "key");
+    first.run();
+    store = copy;
+    first.manager.recordOutcome({.query = 1, .state = RunState::ran, .outcome = "done"}, first.now, WALL_MS);
+    first.run(WriteFault::requestLost);
+    first.settle();
+    second.claim(2, "key");
+    second.settle();
+    EXPECT_EQ(second.verdict(2), ClaimVerdict::alreadyRan);
+    EXPECT_EQ(second.verdicts.at(2).recordedOutcome, "done");
+}
+
 /// Two managers never both receive a grant for one key, under any interleaving of store calls, lost replies and
 /// deadlines.
 TEST(ClaimManagerTest, grantsOneKeyAtMostOnceUnderArbitraryInterleavings)
