ragwortctl: a change after the store was restored gets a sequence above what is in force

The sequence of a document was the stored one plus one; if the store comes back from an older copy, the instances have had that number in force already and ignore the change, and ragwortctl, which waits until each instance has at least that sequence, reported it as in force: also "domain out". An equal content in the store counted as no change, although another one was in force.

Now ragwortctl reads what the reachable instances have in force before a change, numbers it above that, and warns if the store has lost changes: they are not part of the change, since only their numbers are known.

--- a/include/ragwortcart/Control/ConfigurationManager.h
+++ b/include/ragwortcart/Control/ConfigurationManager.h
@@ -33,8 +33,8 @@
     rejected,
 };
 
-/// The sequence number of a document only increases. It is raised by compare-and-swap on the store, so two documents
-/// with the same name and sequence are identical.
+/// The sequence number of a document only increases. It is raised by compare-and-swap on the store, and above what the instances have in force, since a
+/// restored store may hold less. So two documents with the same name and sequence are identical.
 class ConfigurationManager
 {
 public:
--- a/include/ragwortcart/Operator/DocumentStore.h
+++ b/include/ragwortcart/Operator/DocumentStore.h
@@ -9,6 +9,7 @@
 
 #include <QJsonObject>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -64,7 +65,11 @@
 
     Result<StoredDocument> read(const std::string &document);
 
-    /// Replaces \p document with \p json under the next sequence number if its current sequence number is \p base.
+    /// Tells the highest sequence of each document that entry instances report to be in force. It is above the stored one if the store was restored
+    /// from an older copy. Instances never go back, so that `apply()` exceeds both.
+    void setSequencesInForce(std::map<std::string, std::uint64_t> sequences);
+
+    /// Replaces \p document with \p json under the next sequence number if its stored sequence number is \p base.
     ApplyReport apply(const std::string &document, const QByteArray &json, std::uint64_t base);
 
     /// Applies \p change to the current content and retries on conflicts and failed reads. Intended for changes that commute, such as
@@ -80,6 +85,7 @@
 
     KeyValueStore &keyValueStore;
     std::string writer;
+    std::map<std::string, std::uint64_t> sequencesInForce;
     int changeCount = 0;
 };
 
--- a/lib/Operator/Commands.cpp
+++ b/lib/Operator/Commands.cpp
@@ -164,6 +164,29 @@
     return report;
 }
 
+/// Tells \p store which sequences are in force at the entry instances that can be reached. Warns if \p document has a later one there than in the store:
+/// the store was restored from an older copy, and what it lost is not part of the next change.
+static void readSequencesInForce(BlockingPlatformClient &client, DocumentStore &store, const std::string &document)
+{
+    const Result<PlatformInstances> listed = client.list("ragwort-entry");
+    if (!listed) {
+        std::cerr << listed.error().describe() << '\n';
+        return;
+    }
+    std::map<std::string, std::uint64_t> inForce;
+    for (const PlatformInstance &instance : listed->instances) {
+        for (const auto &[name, sequence] : fetchInstanceReport(client, instance).sequences) {
+            inForce[name] = std::max(inForce[name], sequence);
+        }
+    }
+    const Result<StoredDocument> stored = store.read(document);
+    if (stored && sequenceOf(stored->json) < inForce[document]) {
+        std::cerr << document << ": warning: sequence " << inForce[document] << " is in force, but the store holds " << sequenceOf(stored->json)
+                  << ": it has lost the changes since. They are not part of this change; apply them again.\n";
+    }
+    store.setSequencesInForce(std::move(inForce));
+}
+
 /// Waits until \p sequence is in force at all listed entry instances. On a timeout, prints the instances that have not confirmed it.
 static int waitUntilInForce(BlockingPlatformClient &client, const std::string &document, std::uint64_t sequence, const CommandOptions &options)
 {
@@ -253,6 +276,7 @@
     }
     const std::string document = teamDocument(loaded.questionnaire.team.name);
     const QByteArray wanted = encodeTeam(loaded.questionnaire.team);
+    readSequencesInForce(client, store, document);
     return finishApply(client, document, store.apply(document, wanted, options.basedOn), options, wanted);
 }
 
@@ -294,6 +318,7 @@
     }
     CommandOptions rollbackOptions = options;
     rollbackOptions.basedOn = sequenceOf(current->json);
+    readSequencesInForce(client, store, document);
     return finishApply(client, document, store.apply(document, earlier->json, rollbackOptions.basedOn), rollbackOptions, earlier->json);
 }
 
@@ -309,6 +334,7 @@
     DocumentStore store(keyValueStore, writerName());
     const std::string document(TIER_DOCUMENT);
     QByteArray wanted;
+    readSequencesInForce(client, store, document);
     const ApplyReport report = store.update(document, [&](const QByteArray &current) {
         Result<TierConfiguration> tier = decodeTier(current, options.platformAddress);
         TierConfiguration next
--- a/lib/Operator/DocumentStore.cpp
+++ b/lib/Operator/DocumentStore.cpp
@@ -4,6 +4,7 @@
 
 #include <QJsonArray>
 #include <QJsonDocument>
+#include <algorithm>
 #include <map>
 
 namespace ragwort {
@@ -94,6 +95,11 @@
     return this->keyValueStore.read(HISTORY_PREFIX + document + '/' + std::to_string(sequence));
 }
 
+void DocumentStore::setSequencesInForce(std::map<std::string, std::uint64_t> sequences)
+{
+    this->sequencesInForce = std::move(sequences);
+}
+
 ApplyReport DocumentStore::writeAndResolve(const std::string &document, const QByteArray &wanted, const StoredDocument &before)
 {
     // A write whose answer was lost may still take effect later. It is therefore safe only to repeat it with the same expected index:
@@ -131,7 +137,9 @@
         return {.outcome = ApplyOutcome::unavailable, .sequence = 0, .current = {}, .resolvedByReadBack = false};
     }
     const std::uint64_t current = sequenceOf(before->json);
-    if (current != 0 && diffDocuments(before->json, json).empty()) {
+    const auto found = this->sequencesInForce.find(document);
+    const std::uint64_t inForce = found == this->sequencesInForce.end() ? 0 : found->second;
+    if (current != 0 && current >= inForce && diffDocuments(before->json, json).empty()) {
         return {.outcome = ApplyOutcome::unchanged, .sequence = current, .current = before->json, .resolvedByReadBack = false};
     }
     if (current != base) {
@@ -148,7 +156,8 @@
             }
         }
     }
-    return this->writeAndResolve(document, withSequence(json, current + 1, this->writer + ':' + std::to_string(++this->changeCount)), *before);
+    const std::uint64_t next = std::max(current, inForce) + 1;
+    return this->writeAndResolve(document, withSequence(json, next, this->writer + ':' + std::to_string(++this->changeCount)), *before);
 }
 
 ApplyReport DocumentStore::update(const std::string &document, const std::function<QByteArray(const QByteArray &current)> &change)
--- a/unittests/Operator/DocumentStoreTest.cpp
+++ b/unittests/Operator/DocumentStoreTest.cpp
@@ -140,6 +140,32 @@
     EXPECT_EQ(this->documents.apply("team.x", document(1), 0).outcome, ApplyOutcome::unknown);
 }
 
+/// Guards against a store that comes back from an older copy: it gave out the sequences again that instances had in force already, so that they ignored
+/// the changes, and the operator was told that those were in force.
+TEST_F(DocumentStoreTest, aChangeAfterTheStoreWasRestoredExceedsWhatIsInForce)
+{
+    this->documents.apply("team.x", document(1), 0);
+    const FakeStore copy = this->keyValueStore.store;
+    this->documents.apply("team.x", document(2), 1);
+    this->documents.apply("team.x", document(3), 2);
+    this->keyValueStore.store = copy;
+    this->documents.setSequencesInForce({{"team.x", 3}, {"tier", 9}});
+    const ApplyReport report = this->documents.apply("team.x", document(4), 1);
+    EXPECT_EQ(report.outcome, ApplyOutcome::applied);
+    EXPECT_EQ(report.sequence, 4U);
+    EXPECT_EQ(sequenceOf(this->documents.read("team.x")->json), 4U);
+    EXPECT_EQ(this->documents.readHistory("team.x", 1)->json, withSequence(document(1), 1, "test:1"));
+}
+
+/// Guards against the same: the stored content counts as no change, although another one is in force.
+TEST_F(DocumentStoreTest, theStoredContentIsAChangeIfALaterSequenceIsInForce)
+{
+    this->documents.apply("team.x", document(1), 0);
+    this->documents.setSequencesInForce({{"team.x", 3}});
+    EXPECT_EQ(this->documents.apply("team.x", document(1), 1).sequence, 4U);
+    EXPECT_EQ(this->documents.apply("team.x", document(1), 4).outcome, ApplyOutcome::unchanged);
+}
+
 TEST_F(DocumentStoreTest, concurrentUpdatesAreBothApplied)
 {
     const auto addOne = [](const QByteArray &before) {
