--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -7,15 +7,18 @@
 # Time by which the deadline that a server receives may be later than the caller's, to allow for delays on the way.
 DEADLINE_SLACK_MS = 500
 # Bounds in the settings of the instances (soak.py). After a fault, an instance has CONTACT_S to reach the platform again. From then
-# on, it must avoid a leaving server within DRAIN_S and apply new routes within APPLY_S.
+# on, it must avoid a leaving server within DRAIN_S, a domain that is out of service within EVACUATE_S, and apply new routes within APPLY_S.
 CONTACT_S = 4.0
 DRAIN_S = 3.0
 APPLY_S = 3.0
+EVACUATE_S = 5.0
 # A request that is on its way when a server asks an instance for a pause may still arrive within this time, and two later ones may.
 IN_FLIGHT_S = 0.5
 REQUESTS_IN_PAUSE = 2
 # An instance must not answer by an older version if the request was sent later than this after its first answer by a newer one.
 DOWNGRADE_S = 0.25
+# Name of the store among what is disturbed.
+STORE = "store"
 
 
 class InvariantChecker:
@@ -27,6 +30,13 @@
         self.reported_not_run = set()
         # Time at which each server was announced as leaving, by server id.
         self.leaving = {}
+        # Servers among them whose announcement a stable store acknowledged.
+        self.stably_leaving = set()
+        # Time at which each domain was taken out of service, by domain.
+        self.evacuated = {}
+        # Number of disturbances in progress, and the time of the last one, of the store and of each instance with its link to the store.
+        self.disturbances = collections.Counter()
+        self.last_disturbed = {}
         # Begin and end of the last pause that a server asked an instance for, and the requests that reached it meanwhile, by (server, instance).
         self.pauses = {}
         # Time at which a server first told an instance that it leaves, by (server, instance).
@@ -44,12 +54,33 @@
     def fault_free_for(self, seconds):
         return self.clock() - self.last_fault > seconds
 
+    def begin_disturbance(self, name):
+        self.disturbances[name] += 1
+
+    def end_disturbance(self, name):
+        self.disturbances[name] -= 1
+        self.last_disturbed[name] = self.clock()
+
+    def is_calm(self, name, at):
+        """Returns whether the store or an instance has been undisturbed for CONTACT_S at a time."""
+        return not self.disturbances[name] and at - self.last_disturbed.get(name, -100.0) > CONTACT_S
+
+    def in_touch(self, process, at):
+        """Returns whether a process was in touch with a stable store at a time. It is named instance#number, or None if it is not known."""
+        return process is not None and self.is_calm(STORE, at) and self.is_calm(process.partition("#")[0], at)
+
+    def record_leaving_acknowledged(self, server_id):
+        self.leaving[server_id] = self.clock()
+        if self.is_calm(STORE, self.clock()):
+            self.stably_leaving.add(server_id)
+
     def record_request(self, request_id, kind, target, deadline_ms):
         self.requests[request_id] = (kind, target, self.clock() + deadline_ms / 1000)
 
-    def record_run(self, backend, request, request_id, skip_deadline_check, delays=""):
+    def record_run(self, backend, request, request_id, skip_deadline_check, delays="", senders=()):
         """Checks the start of an execution. A fault may delay the request on its way; skip_deadline_check is set in that case. A
-        violation tells delays, which describes what may have delayed the request."""
+        violation tells delays, which describes what may have delayed the request. One of the senders has sent it; none are named if the
+        link to the server was disturbed."""
         now = self.clock()
         if request_id not in self.requests:
             self.report_violation(f"{backend.server_id} runs {request_id}, which no caller sent")
@@ -68,9 +99,20 @@
                 f"{request_id} arrives at {backend.server_id} with a deadline of {server_deadline_ms} ms, its caller waits {1000 * (deadline - now):.0f} ms; {delays}"
             )
         leaving_since = self.leaving.get(backend.server_id)
-        if leaving_since is not None and now - leaving_since > DRAIN_S and self.fault_free_for(CONTACT_S + DRAIN_S):
+        if leaving_since is not None and now - leaving_since > DRAIN_S and (
+            self.fault_free_for(CONTACT_S + DRAIN_S) or (backend.server_id in self.stably_leaving and self.all_in_touch(senders))
+        ):
             self.report_violation(f"{request_id} reaches {backend.server_id} {now - leaving_since:.2f} s after the server was announced as leaving")
 
+    def all_in_touch(self, senders):
+        return bool(senders) and all(self.in_touch(sender, self.clock()) for sender in senders)
+
+    def check_evacuated(self, domain, server_id, request_id, senders):
+        """Checks a request that reaches a server of a domain, sent by one of the senders."""
+        late_s = self.clock() - self.evacuated.get(domain, self.clock())
+        if late_s > EVACUATE_S and self.all_in_touch(senders):
+            self.report_violation(f"{request_id} reaches {server_id} {late_s:.2f} s after domain {domain} was taken out of service")
+
     def record_pause(self, server_id, instance, seconds):
         self.pauses[server_id, instance] = [self.clock(), self.clock() + seconds, 0]
 
@@ -91,6 +133,8 @@
 
     def record_answer(self, request_id, instance, status, headers, body, sent_at):
         kind, target, _ = self.requests[request_id]
+        if status in (401, 403, 404) and kind != "probe":
+            self.report_violation(f"{request_id} is answered with {status} at {instance} although every version allows it")
         # These statuses state that the request did not run.
         if status in (408, 421, 429, 503):
             self.reported_not_run.add(request_id)
@@ -104,6 +148,13 @@
                 if service is None or body != b"".join(expected_records(service, target)):
                     self.report_violation(f"{request_id} succeeds with an answer that no server sent")
 
+    def record_probe(self, request_id, instance, version, status, sent_at):
+        """Checks the answer to a request on the route that only the named version has."""
+        if 200 <= status < 300:
+            self.check_version(request_id, instance, version, version, sent_at)
+        elif status == 404 and version == len(self.versions) - 1:
+            self.check_version(request_id, instance, -1, version - 1, sent_at)
+
     def check_gathered(self, request_id, instance, target, headers, body, sent_at):
         services = [signed_service(text.strip(), request_id) for text in headers.get("X-Part-Stamps", "").split(",")]
         missing = int(headers.get("X-Missing-Parts", "0"))
@@ -125,8 +176,10 @@
     def check_version(self, request_id, instance, oldest_match, newest_match, sent_at):
         """Checks the version of an answer. An answer with missing parts may match several versions."""
         applied = [index for index, (_, acknowledged) in enumerate(self.versions) if sent_at - acknowledged > APPLY_S]
-        if applied and newest_match < applied[-1] and self.fault_free_for(CONTACT_S + APPLY_S):
-            self.report_violation(f"{request_id} is answered at {instance} by version {newest_match} although {applied[-1]} is in force")
+        in_touch = self.fault_free_for(CONTACT_S + APPLY_S) or self.in_touch(instance, sent_at)
+        if applied and newest_match < applied[-1] and in_touch:
+            late_s = sent_at - self.versions[applied[-1]][1]
+            self.report_violation(f"{request_id} is answered at {instance} by version {newest_match} {late_s:.2f} s after {applied[-1]} was acknowledged")
         newest, since = self.newest_seen_version.get(instance, (-1, 0.0))
         if newest_match < newest and sent_at > since + DOWNGRADE_S:
             self.report_violation(f"{instance} reverts from version {newest} to {newest_match}")
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -10,6 +10,7 @@
 import asyncio
 import itertools
 import json
+import math
 import os
 import random
 import signal
@@ -19,7 +20,7 @@
 import aiohttp
 from aiohttp import web
 
-from promises import CONTACT_S, InvariantChecker
+from promises import CONTACT_S, STORE, InvariantChecker
 from stand_in import Backend, Proxy, Store
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -48,6 +49,18 @@
 
 # From this seed on, servers also state in their answers that they want a pause or leave. Earlier seeds keep their order of faults.
 FIRST_SEED_WITH_STATEMENTS = 500
+# From this seed on, the store also comes back from an older copy, servers run on for longer after they have left, and domains stay out of
+# service for longer.
+FIRST_SEED_WITH_RESTORES = 600
+# Longest time for which the store is away before it comes back from a copy, and the age of that copy.
+LONGEST_AWAY_S = 2.0
+COPY_AGE_S = (0.1, 10.0)
+# Largest number of changes by other writers just before the store goes away, and after its return.
+OTHER_CHANGES = 12
+# Time after its return within which the operator and the servers write again what it has lost.
+WRITTEN_AGAIN_S = (0.2, 2.0)
+# Interval between requests that show which version is in force at an instance.
+PROBE_INTERVAL_S = 0.25
 
 
 def processor_waits(pid):
@@ -118,10 +131,15 @@
         self.incarnation += 1
         self.launched_at = self.deployment.clock()
         self.ending = self.planned_stop = self.paused = False
+        self.mark_disturbed()
         program = os.path.join(self.deployment.build, "bin", "ragwort-platform-entry")
         self.process = await asyncio.create_subprocess_exec(program, "--settings=" + self.settings, stdout=self.log, stderr=self.log)
         self.deployment.spawn(self.restart_when_exited())
 
+    def mark_disturbed(self):
+        self.deployment.checker.begin_disturbance(self.name)
+        self.deployment.checker.end_disturbance(self.name)
+
     async def restart_when_exited(self):
         code = await self.process.wait()
         if not self.ending and not self.deployment.closing:
@@ -137,10 +155,12 @@
 
     def kill(self):
         self.ending = True
+        self.mark_disturbed()
         self.signal(signal.SIGKILL)
 
     async def stop_gracefully(self):
         self.ending = self.planned_stop = True
+        self.deployment.checker.begin_disturbance(self.name)
         process = self.process
         self.signal(signal.SIGTERM)
         try:
@@ -148,6 +168,7 @@
         except asyncio.TimeoutError:
             self.deployment.checker.report_violation(f"{self.name} is still running {GRACE_S:.0f} s after SIGTERM")
             process.kill()
+        self.deployment.checker.end_disturbance(self.name)
 
 
 class Deployment:
@@ -171,6 +192,8 @@
         self.instances = []
         self.options = options
         self.version = 0
+        self.routes_written = asyncio.Lock()
+        self.again_random = random.Random(f"{seed}-again")
         self.ids = itertools.count(1)
         self.served = self.failed = 0
         self.last_stall_at = -100.0
@@ -202,7 +225,8 @@
         paused = target_instance is not None and self.recently_paused(target_instance)
         stalled = self.clock() - self.last_stall_at < DEADLINE_MS / 1000
         delays = "" if target_instance is None else self.describe_delays(request_id, target_instance)
-        self.checker.record_run(backend, request, request_id, disturbed or paused or stalled, delays)
+        senders = () if disturbed else self.possible_senders(request_id)
+        self.checker.record_run(backend, request, request_id, disturbed or paused or stalled, delays, senders)
 
     def describe_delays(self, request_id, instance):
         """Describes what may have delayed the request since it was sent, for the text of a violation."""
@@ -215,6 +239,13 @@
             f" waits for a processor {1000 * waited_s:.0f} ms, recently paused: {','.join(paused) or 'none'}"
         )
 
+    def possible_senders(self, request_id):
+        """Returns the names of the instances of which one sends the request to servers: all if queries are divided."""
+        instance = self.target_instances.get(request_id)
+        if instance is None or self.cpu_share != STRONG_CPU_SHARE:
+            return [other.name for other in self.instances]
+        return [instance.name]
+
     def sender_of(self, request_id):
         """Returns the process that sends the request to servers, or None if queries are divided or a fault may have delayed the request."""
         instance = self.target_instances.get(request_id)
@@ -226,6 +257,8 @@
     def record_arrival(self, backend, request_id):
         proxy = self.proxies[backend.service, backend.number]
         disturbed = proxy.fault_mode != "none" or proxy.delay_s or self.clock() - proxy.last_fault_at < CONTACT_S
+        if not disturbed:
+            self.checker.check_evacuated(backend.domain, backend.server_id, request_id, self.possible_senders(request_id))
         sender = self.sender_of(request_id)
         if sender is not None and not disturbed:
             self.checker.record_arrival(backend.server_id, sender, request_id, self.sent_times[request_id])
@@ -255,6 +288,7 @@
         await self.store_runner.setup()
         await web.TCPSite(self.store_runner, *self.store_address, reuse_address=True).start()
         self.spawn(self.store.expire_leases())
+        self.spawn(self.store.keep_copies())
         self.spawn(self.detect_stalls())
         for shard in range(2 * SHARDS):
             for number, domain in enumerate(DOMAINS):
@@ -264,7 +298,7 @@
                 self.proxies[service, number] = Proxy((address[0], 8143), address)
                 await self.proxies[service, number].start()
                 await backend.start()
-                await self.store.write("servers/" + backend.server_id, backend.registration())
+                await self.store.put("servers/" + backend.server_id, backend.registration())
                 self.backends.append(backend)
         await self.write_routes()
         for number in range(self.options.instances):
@@ -272,7 +306,11 @@
             await self.instances[-1].start()
 
     async def write_routes(self):
-        """Writes the next version of the routes, which shifts the shards by one service like a repartition."""
+        """Writes the next version of the routes, which shifts the shards by one service like a repartition. Each has a route of its own."""
+        async with self.routes_written:
+            await self.write_next_routes()
+
+    async def write_next_routes(self):
         shards = [f"s{(self.version + index) % (2 * SHARDS)}" for index in range(SHARDS)]
         self.version += 1
         common = {"host": "h", "timeout_ms": 3000, "target_latency_ms": 300, "max_attempts": 3, "priority": 1}
@@ -280,12 +318,30 @@
             {**common, "name": "gather", "prefix": "/g/", "kind": "safe", "gather": shards, "top_k": 5, "min_version": 0.7},
             {**common, "name": "one", "prefix": "/one/", "kind": "safe", "service": "s0"},
             {**common, "name": "once", "prefix": "/once/", "kind": "unsafe", "service": "s1"},
+            {**common, "name": f"v{self.version - 1}", "prefix": f"/v{self.version - 1}/", "kind": "safe", "service": "s2"},
         ]
         services = [{"name": f"s{shard}", "max_conns": 60, "warmup_s": 0, "warmup_per_s": 0} for shard in range(2 * SHARDS)]
         limits = {"header_bytes": 16384, "body_bytes": 262144, "header_timeout_ms": 3000, "idle_ms": 15000}
         text = json.dumps({"version": self.version, "routes": routes, "services": services, "limits": limits})
-        self.checker.versions.append((set(shards), self.clock()))
-        await self.store.write("op/config", text.encode())
+        self.checker.versions.append((set(shards), math.inf))
+        await self.store.put("op/config", text.encode())
+        self.checker.versions[-1] = (set(shards), self.clock())
+
+    def restore_store(self, age_s):
+        """Lets the store come back from a copy. What the operator and the servers wrote since is written again, each at its own moment."""
+        lost = self.store.come_back(age_s)
+        keys = [key for key in self.store.written if self.store.is_lost(key)]
+        for key in keys:
+            self.spawn(self.write_again(key, self.again_random.uniform(*WRITTEN_AGAIN_S)))
+        return f"epoch {self.store.epoch}, copy {age_s:.2f} s old, {lost} revisions lost, to be written again: {','.join(keys) or 'nothing'}"
+
+    async def write_again(self, key, after_s):
+        await asyncio.sleep(after_s)
+        await self.store.present.wait()
+        value = self.store.written[key]
+        alive = any("servers/" + backend.server_id == key for backend in self.backends if backend.runner is not None)
+        if self.store.is_lost(key) and (value is None or alive or not key.startswith("servers/")):
+            await self.store.write(key, value)
 
     async def wait_until_ready(self):
         async with aiohttp.ClientSession() as session:
@@ -310,6 +366,17 @@
                 await self.send_request(session, instance, rng.choice(["gather", "gather", "one", "once"]))
                 await asyncio.sleep(CALLER_PAUSE_S)
 
+    async def run_prober(self, instance):
+        """Sends requests on the routes that only the newest version, or the one before it, has."""
+        async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=1), trace_configs=[self.trace_writes()]) as session:
+            for number in itertools.count():
+                if self.closing:
+                    return
+                version = len(self.checker.versions) - 1 - number % 2
+                if version >= 0:
+                    await self.send_request(session, instance, "probe", version)
+                await asyncio.sleep(PROBE_INTERVAL_S)
+
     def trace_writes(self):
         """Returns a trace that records when the head of each request is written."""
 
@@ -320,9 +387,9 @@
         trace.on_request_headers_sent.append(on_headers_sent)
         return trace
 
-    async def send_request(self, session, instance, kind):
+    async def send_request(self, session, instance, kind, version=None):
         request_id = f"{self.seed:x}-{next(self.ids):x}"
-        path = {"gather": "/g/", "one": "/one/", "once": "/once/"}[kind] + request_id + "?page=1"
+        path = {"gather": "/g/", "one": "/one/", "once": "/once/", "probe": f"/v{version}/"}[kind] + request_id + "?page=1"
         sent_at, incarnation = self.clock(), instance.incarnation
         self.target_instances[request_id] = instance
         self.sent_times[request_id] = sent_at
@@ -336,13 +403,17 @@
                 body = await answer.read()
                 # Without an instance name if the process was replaced meanwhile, as either process may have sent the answer.
                 same_process = instance.incarnation == incarnation
-                self.checker.record_answer(request_id, f"{instance.name}#{incarnation}" if same_process else None, answer.status, answer.headers, body, sent_at)
+                process = f"{instance.name}#{incarnation}" if same_process else None
+                self.checker.record_answer(request_id, process, answer.status, answer.headers, body, sent_at)
+                if kind == "probe":
+                    self.checker.record_probe(request_id, process, version, answer.status, sent_at)
                 succeeded = 200 <= answer.status < 300
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             succeeded = False
             self.check_unanswered(instance, incarnation, request_id, error)
-        self.served += succeeded
-        self.failed += not succeeded
+        if kind != "probe":
+            self.served += succeeded
+            self.failed += not succeeded
         return succeeded
 
     def check_unanswered(self, instance, incarnation, request_id, error):
@@ -365,6 +436,7 @@
         for instance in self.instances:
             for number in range(CALLERS_PER_INSTANCE):
                 self.spawn(self.run_caller(instance, number))
+            self.spawn(self.run_prober(instance))
         await asyncio.sleep(2)
         await Faults(self).run(self.options.faults_s)
         await self.recover()
@@ -426,10 +498,15 @@
 
         if deployment.seed >= FIRST_SEED_WITH_STATEMENTS:
             self.kinds += [self.pause_requests, self.pause_requests, self.leave_unannounced, self.leave_unannounced]
+        self.with_restores = deployment.seed >= FIRST_SEED_WITH_RESTORES
+        if self.with_restores:
+            self.kinds += [self.restore_store, self.restore_store]
 
     async def run(self, seconds):
         end = self.deployment.clock() + seconds
         running = []
+        if self.with_restores:
+            running.append(asyncio.create_task(self.inject(self.restore_store, self.random.uniform(0.0, seconds))))
         while self.deployment.clock() < end:
             fault = self.random.choice(self.kinds)
             running.append(asyncio.create_task(self.inject(fault)))
@@ -437,7 +514,8 @@
         await asyncio.gather(*running)
         self.deployment.checker.last_fault = self.deployment.clock()
 
-    async def inject(self, fault):
+    async def inject(self, fault, after_s=0.0):
+        await asyncio.sleep(after_s)
         self.deployment.checker.last_fault = self.deployment.clock()
         print(f"{self.deployment.clock():7.3f} {fault.__name__} begins", file=self.open_log())
         await fault()
@@ -469,11 +547,13 @@
     async def pause_instance(self):
         instance = self.instance()
         instance.paused = True
+        self.deployment.checker.begin_disturbance(instance.name)
         instance.signal(signal.SIGSTOP)
         await self.sleep_random()
         instance.signal(signal.SIGCONT)
         instance.paused = False
         instance.resumed_at = self.deployment.clock()
+        self.deployment.checker.end_disturbance(instance.name)
 
     async def reload_instance(self):
         instance = self.instance()
@@ -496,16 +576,48 @@
         proxy.last_fault_at = self.deployment.clock()
 
     async def disturb_store_link(self):
-        await self.disturb(self.instance().store_proxy)
+        instance = self.instance()
+        self.deployment.checker.begin_disturbance(instance.name)
+        await self.disturb(instance.store_proxy)
+        self.deployment.checker.end_disturbance(instance.name)
 
     async def disturb_server_link(self):
         backend = self.backend()
         await self.disturb(self.deployment.proxies[backend.service, backend.number])
 
     async def disable_store(self):
+        self.deployment.checker.begin_disturbance(STORE)
         self.deployment.store.fault_mode = self.random.choice(["refuse", "silent"])
         await self.sleep_random(5.0)
         self.deployment.store.fault_mode = "none"
+        self.deployment.checker.end_disturbance(STORE)
+
+    async def restore_store(self):
+        """The store is away for a moment and comes back from an older copy, at times again soon after, or around a new version."""
+        for _ in range(self.random.choice([1, 1, 2])):
+            if self.random.random() < 0.5:
+                await self.deployment.write_routes()
+                await asyncio.sleep(self.random.uniform(0.0, 1.0))
+            await self.write_other_changes()
+            self.deployment.checker.begin_disturbance(STORE)
+            self.deployment.store.leave(self.random.choice(["refuse", "silent"]))
+            await asyncio.sleep(self.random.uniform(0.0, LONGEST_AWAY_S))
+            youngest, oldest = COPY_AGE_S
+            text = self.deployment.restore_store(youngest * (oldest / youngest) ** self.random.random())
+            print(f"{self.deployment.clock():7.3f} {text}", file=self.open_log())
+            self.deployment.checker.end_disturbance(STORE)
+            if self.random.random() < 0.5:
+                await self.deployment.write_routes()
+            await self.write_other_changes()
+            await asyncio.sleep(self.random.uniform(0.0, 2.0))
+            if self.random.random() < 0.5:
+                await self.deployment.write_routes()
+
+    async def write_other_changes(self):
+        """Other writers of the store change keys of their own, so that revisions are given out."""
+        for number in range(self.random.randint(0, OTHER_CHANGES)):
+            await self.deployment.store.present.wait()
+            await self.deployment.store.write(f"other/{number}", b"1")
 
     async def compact_store_history(self):
         self.deployment.store.compact_history(len(self.deployment.store.history))
@@ -520,8 +632,8 @@
         old = backend.server_id
         await backend.stop()
         await self.sleep_random(4.0)
-        await self.deployment.store.write("servers/" + old, None)
-        self.deployment.checker.leaving[old] = self.deployment.clock()
+        await self.deployment.store.put("servers/" + old, None)
+        self.deployment.checker.record_leaving_acknowledged(old)
         await self.restart_backend(backend)
 
     async def degrade_server(self):
@@ -537,12 +649,16 @@
             return
         old = backend.server_id
         if self.random.random() < 0.5:
-            await self.deployment.store.write("servers/" + old, backend.registration("draining"))
+            await self.deployment.store.put("servers/" + old, backend.registration("draining"))
         else:
-            await self.deployment.store.write("servers/" + old, None)
-        self.deployment.checker.leaving[old] = self.deployment.clock()
+            await self.deployment.store.put("servers/" + old, None)
+        self.deployment.checker.record_leaving_acknowledged(old)
         await asyncio.sleep(3.2)  # Longer than DRAIN_S, so that no instance may still send requests when the server stops.
-        await self.deployment.store.write("servers/" + old, None)
+        await self.deployment.store.put("servers/" + old, None)
+        if self.with_restores:
+            await asyncio.sleep(self.random.uniform(0.0, 6.0))
+            if backend.server_id != old or backend.runner is None:
+                return  # Another fault has ended the server meanwhile.
         await backend.stop()
         await self.restart_backend(backend)
 
@@ -567,29 +683,34 @@
         backend.fault_mode = "leaving"
         if self.random.random() < 0.5:
             await self.sleep_random(1.0)
-            await self.deployment.store.write("servers/" + old, None)
-            await self.deployment.store.write("servers/" + old, backend.registration())
+            await self.deployment.store.put("servers/" + old, None)
+            await self.deployment.store.put("servers/" + old, backend.registration())
         await asyncio.sleep(5.0)  # Longer than DRAIN_S, so that requests that arrive too late are seen.
         if backend.runner is None or backend.server_id != old or old in self.deployment.checker.leaving:
             return  # Another fault has ended the server meanwhile.
-        await self.deployment.store.write("servers/" + old, None)
-        self.deployment.checker.leaving[old] = self.deployment.clock()
+        await self.deployment.store.put("servers/" + old, None)
+        self.deployment.checker.record_leaving_acknowledged(old)
         await backend.stop()
         await self.restart_backend(backend)
 
     async def restart_backend(self, backend):
+        if backend.runner is not None:
+            return  # Another fault has restarted the server meanwhile.
         await backend.start()
-        await self.deployment.store.write("servers/" + backend.server_id, backend.registration())
+        await self.deployment.store.put("servers/" + backend.server_id, backend.registration())
 
     async def repartition(self):
         await self.deployment.write_routes()
 
     async def evacuate(self):
         """Takes a failure domain out of service and back in."""
-        key = "op/evacuate/" + self.random.choice(DOMAINS)
-        await self.deployment.store.write(key, b"{}")
-        await self.sleep_random(4.0)
-        await self.deployment.store.write(key, None)
+        domain = self.random.choice(DOMAINS)
+        key = "op/evacuate/" + domain
+        await self.deployment.store.put(key, b"{}")
+        self.deployment.checker.evacuated.setdefault(domain, self.deployment.clock())
+        await self.sleep_random(12.0 if self.with_restores else 4.0)
+        self.deployment.checker.evacuated.pop(domain, None)
+        await self.deployment.store.put(key, None)
 
 
 async def run_seed(seed, options, net):
--- a/test/soak/stand_in.py
+++ b/test/soak/stand_in.py
@@ -11,6 +11,9 @@
 RECORDS_PER_SHARD = 6
 # Maximum number of changes that the store keeps for watches.
 HISTORY_CHANGES = 400
+# Interval of the store's copies, and the age of the oldest one that it keeps.
+COPY_INTERVAL_S = 0.1
+OLDEST_COPY_S = 10.0
 # Pause that a server in fault mode pausing asks for.
 PAUSE_S = 2
 
@@ -93,7 +96,7 @@
 
 
 class Store:
-    """The metadata store: items, leases, watches and a bounded history.
+    """The metadata store: items, leases, watches and a bounded history. It can come back from an older copy of itself.
 
     Fault modes besides none: refuse answers every call with status 503, silent does not answer."""
 
@@ -103,6 +106,64 @@
         self.fault_mode = "none"
         self.lose_write_answers = 0
         self.changed = asyncio.Condition()
+        # Rises by one each time that the store comes back from a copy. Every answer states it.
+        self.epoch = 1
+        # Time and contents of each copy, oldest first.
+        self.copies = []
+        # Set unless the store is away before it comes back from a copy. Writes of the operator and of servers wait for it.
+        self.present = asyncio.Event()
+        self.present.set()
+        # Last value that the operator or a server wrote to each key, None if it deleted the key.
+        self.written = {}
+        self.open_connections = set()
+
+    async def put(self, key, value):
+        """Writes for the operator or a server, once the store is there. Its return is the acknowledgement."""
+        await self.present.wait()
+        self.written[key] = value
+        await self.write(key, value)
+
+    def contents(self):
+        return (dict(self.items), list(self.history), dict(self.leases), self.revision, self.oldest, self.last_lease)
+
+    async def keep_copies(self):
+        while True:
+            now = asyncio.get_running_loop().time()
+            if self.present.is_set():
+                self.copies.append((now, self.contents()))
+            while now - self.copies[0][0] > OLDEST_COPY_S:
+                del self.copies[0]
+            await asyncio.sleep(COPY_INTERVAL_S)
+
+    def leave(self, fault_mode):
+        """Goes away in a fault mode until it comes back from a copy."""
+        self.fault_mode = fault_mode
+        self.present.clear()
+        self.cut_connections()
+
+    def come_back(self, age_s):
+        """Comes back from the copy of that age, or the oldest. The copies after it are lost too. Returns the revisions that were lost."""
+        newest = self.revision
+        until = asyncio.get_running_loop().time() - age_s
+        self.copies = [copy for copy in self.copies if copy[0] <= until] or self.copies[:1]
+        items, history, leases, self.revision, self.oldest, self.last_lease = self.copies[-1][1]
+        self.items, self.history, self.leases = dict(items), list(history), dict(leases)
+        self.epoch += 1
+        self.fault_mode = "none"
+        self.present.set()
+        self.cut_connections()
+        return newest - self.revision
+
+    def cut_connections(self):
+        for transport in list(self.open_connections):
+            transport.abort()
+
+    def is_lost(self, key):
+        """Returns whether what was last written to the key must be written again. A server writes again only if its entry is missing."""
+        value, item = self.written[key], self.items.get(key)
+        if value is None or item is None or key.startswith("servers/"):
+            return (value is None) != (item is None)
+        return base64.b64decode(item["value"]) != value
 
     async def write(self, key, value, lease=0):
         """Writes the value, or deletes the key if the value is None. Wakes the pending watches."""
@@ -126,6 +187,7 @@
     async def expire_leases(self):
         while True:
             await asyncio.sleep(0.2)
+            await self.present.wait()
             now = asyncio.get_running_loop().time()
             for lease in [lease for lease, (until, _) in self.leases.items() if until < now]:
                 await self.end_lease(lease)
@@ -141,6 +203,17 @@
         return self.last_lease
 
     async def handle(self, request):
+        transport = request.transport
+        if transport is not None:
+            self.open_connections.add(transport)
+        try:
+            answer = await self.answer(request)
+        finally:
+            self.open_connections.discard(transport)
+        answer.headers["Store-Era"] = str(self.epoch)
+        return answer
+
+    async def answer(self, request):
         if self.fault_mode == "silent":
             await asyncio.sleep(60)
         if self.fault_mode != "none":
@@ -174,6 +247,9 @@
         def events():
             return [change for change in self.history if change["revision"] > after]
 
+        if after > self.revision:
+            return web.json_response({}, status=410)
+
         async with self.changed:
             try:
                 await asyncio.wait_for(self.changed.wait_for(lambda: after < self.oldest or events()), wait_s)
--- a/test/soak/test_promises.py
+++ b/test/soak/test_promises.py
@@ -1,10 +1,12 @@
 """Tests that the invariant checks of the soak test detect violations."""
 
+import asyncio
+import math
 import types
 import unittest
 
-from promises import InvariantChecker
-from stand_in import expected_records, signature
+from promises import STORE, InvariantChecker
+from stand_in import Store, expected_records, signature
 
 
 class InvariantCheckerTest(unittest.TestCase):
@@ -17,10 +19,20 @@
     def send_request(self, request_id="r1", kind="gather", target="/g/r1"):
         self.checker.record_request(request_id, kind, target, 1500)
 
-    def run_at(self, server="s0-0-1", request_id="r1", target="/g/r1", deadline_ms=1400):
+    def run_at(self, server="s0-0-1", request_id="r1", target="/g/r1", deadline_ms=1400, senders=()):
         backend = types.SimpleNamespace(server_id=server)
         request = types.SimpleNamespace(path_qs=target, headers={"X-Deadline-Ms": str(deadline_ms)})
-        self.checker.record_run(backend, request, request_id, False)
+        self.checker.record_run(backend, request, request_id, False, senders=senders)
+
+    def disturb(self, name, before_s):
+        """Disturbs the store or an instance until some seconds before now."""
+        self.now -= before_s
+        self.checker.begin_disturbance(name)
+        self.checker.end_disturbance(name)
+        self.now += before_s
+
+    def probe(self, version, status, sent_at=None, instance="e0#1"):
+        self.checker.record_probe("r1", instance, version, status, self.now if sent_at is None else sent_at)
 
     def answer(self, status=200, services=("s0", "s1", "s2"), missing=0, body=None, stamps=None, sent_at=None, instance="e0#1"):
         if body is None:
@@ -140,6 +152,177 @@
         self.answer(instance="e0#2")
         self.assertEqual(self.violation_count(), 1)
 
+    def test_outdated_version_beside_faults_elsewhere_is_a_violation(self):
+        self.send_request()
+        self.checker.versions.append(({"s3", "s4", "s5"}, self.now - 3.1))
+        self.checker.last_fault = self.now
+        self.disturb("e1", 0.5)
+        self.disturb("e0", 4.1)
+        self.disturb(STORE, 4.1)
+        self.answer()
+        self.assertEqual(self.violation_count(), 1)
+
+    def test_outdated_version_is_excused_after_a_disturbance_of_the_store_or_the_instance(self):
+        for name in (STORE, "e0"):
+            self.setUp()
+            self.send_request()
+            self.checker.versions.append(({"s3", "s4", "s5"}, self.now - 60.0))
+            self.checker.last_fault = self.now
+            self.disturb(name, 3.9)
+            self.answer()
+            self.assertEqual(self.checker.violations, [])
+            self.checker.begin_disturbance(name)
+            self.now += 10.0
+            self.checker.last_fault = self.now
+            self.answer()
+            self.assertEqual(self.checker.violations, [])
+            self.checker.end_disturbance(name)
+            self.now += 4.1
+            self.answer()
+            self.assertEqual(self.violation_count(), 1)
+
+    def test_overlapping_disturbances_end_with_the_last(self):
+        self.checker.begin_disturbance(STORE)
+        self.checker.begin_disturbance(STORE)
+        self.checker.end_disturbance(STORE)
+        self.now += 10.0
+        self.assertFalse(self.checker.in_touch("e0#1", self.now))
+        self.checker.end_disturbance(STORE)
+        self.now += 4.1
+        self.assertTrue(self.checker.in_touch("e0#1", self.now))
+        self.assertFalse(self.checker.in_touch(None, self.now))
+
+    def test_missing_route_of_the_newest_version_is_a_violation(self):
+        self.checker.versions.append(({"s3", "s4", "s5"}, self.now - 2.9))
+        self.probe(1, 404)
+        self.probe(1, 503)
+        self.assertEqual(self.checker.violations, [])
+        self.now += 0.2
+        self.probe(1, 404)
+        self.assertEqual(self.violation_count(), 1)
+
+    def test_dropped_route_that_is_served_is_a_violation(self):
+        self.checker.versions.append(({"s3", "s4", "s5"}, self.now - 2.9))
+        self.probe(0, 200)
+        self.probe(0, 404)
+        self.assertEqual(self.checker.violations, [])
+        self.now += 0.2
+        self.probe(0, 200)
+        self.assertEqual(self.violation_count(), 1)
+
+    def test_version_that_is_not_acknowledged_is_not_due(self):
+        self.checker.versions.append(({"s3", "s4", "s5"}, math.inf))
+        self.now += 60.0
+        self.probe(1, 404)
+        self.probe(0, 200)
+        self.send_request()
+        self.answer()
+        self.assertEqual(self.checker.violations, [])
+
+    def test_probes_show_a_version_downgrade_in_one_life(self):
+        self.checker.versions.append(({"s3", "s4", "s5"}, math.inf))
+        self.probe(1, 200)
+        self.disturb(STORE, 0.0)  # Excuses nothing: a version does not go back.
+        self.now += 0.2
+        self.probe(1, 404)
+        self.assertEqual(self.checker.violations, [])
+        self.now += 0.2
+        self.probe(1, 404)
+        self.probe(0, 200)
+        self.probe(0, 200, instance="e0#2")
+        self.assertEqual(self.violation_count(), 2)
+
+    def test_refusal_of_what_every_version_allows_is_a_violation(self):
+        self.send_request()
+        self.answer(status=404)
+        self.assertEqual(self.violation_count(), 1)
+        self.send_request(kind="probe")
+        self.answer(status=404)
+        self.assertEqual(self.violation_count(), 1)
+
+    def test_request_to_a_draining_server_beside_other_faults_is_a_violation(self):
+        self.checker.record_leaving_acknowledged("s0-0-1")
+        self.now += 3.1
+        self.send_request()
+        self.checker.last_fault = self.now
+        self.run_at(senders=["e0"])
+        self.assertEqual(self.violation_count(), 1)
+        self.run_at()  # The link to the server was disturbed.
+        self.disturb("e1", 1.0)
+        self.run_at(senders=["e0", "e1"])  # Either may have sent it.
+        self.disturb(STORE, 3.9)
+        self.run_at(senders=["e0"])
+        self.assertEqual(self.violation_count(), 1)
+
+    def test_draining_that_an_unstable_store_acknowledged_binds_after_the_faults(self):
+        self.disturb(STORE, 1.0)
+        self.checker.record_leaving_acknowledged("s0-0-1")
+        self.now += 6.0
+        self.send_request()
+        self.checker.last_fault = self.now
+        self.run_at(senders=["e0"])
+        self.assertEqual(self.checker.violations, [])
+        self.now += 7.1
+        self.send_request()
+        self.run_at()
+        self.assertEqual(self.violation_count(), 1)
+
+    def test_request_to_an_evacuated_domain_is_a_violation(self):
+        self.checker.evacuated["a"] = self.now - 5.1
+        self.checker.check_evacuated("b", "s0-1-1", "r1", ["e0"])
+        self.checker.check_evacuated("a", "s0-0-1", "r1", [])
+        self.disturb("e1", 1.0)
+        self.checker.check_evacuated("a", "s0-0-1", "r1", ["e0", "e1"])
+        self.assertEqual(self.checker.violations, [])
+        self.checker.check_evacuated("a", "s0-0-1", "r1", ["e0"])
+        self.assertEqual(self.violation_count(), 1)
+        self.disturb(STORE, 3.9)
+        self.checker.check_evacuated("a", "s0-0-1", "r1", ["e0"])
+        self.assertEqual(self.violation_count(), 1)
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    """The store that the soak emulates loses what it has acknowledged only when it comes back from a copy."""
+
+    async def asyncSetUp(self):
+        self.store = Store()
+        await self.store.put("op/config", b"1")
+        await self.store.put("servers/s0", b"ready")
+        self.store.copies = [(asyncio.get_running_loop().time(), self.store.contents())]
+
+    async def test_contents_revisions_and_leases_go_back(self):
+        lease = self.store.grant(10000)
+        await self.store.write("ragwort/instances/e0", b"x", lease)
+        await self.store.put("op/config", b"2")
+        lost = self.store.come_back(0.0)
+        self.assertEqual((lost, self.store.revision, self.store.epoch), (2, 3, 2))
+        self.assertEqual(sorted(self.store.items), ["op/config", "servers/s0"])
+        self.assertEqual([change["revision"] for change in self.store.history], [2, 3])
+        self.assertEqual(self.store.leases, {})
+        self.assertEqual(self.store.grant(10000), lease)
+
+    async def test_what_is_written_again(self):
+        await self.store.put("op/config", b"2")
+        await self.store.put("op/evacuate/a", b"{}")
+        await self.store.put("servers/s0", b"draining")
+        await self.store.put("servers/s1", b"ready")
+        self.store.come_back(0.0)
+        lost = [key for key in self.store.written if self.store.is_lost(key)]
+        self.assertEqual(lost, ["op/config", "op/evacuate/a", "servers/s1"])
+
+    async def test_writes_wait_until_the_store_is_back(self):
+        self.store.leave("silent")
+        write = asyncio.create_task(self.store.put("op/config", b"2"))
+        await asyncio.sleep(0)
+        self.assertFalse(write.done())
+        self.store.come_back(0.0)
+        await write
+        self.assertEqual(self.store.revision, 4)
+
+    async def test_watch_from_a_revision_that_the_store_does_not_have(self):
+        self.assertEqual((await self.store.watch(4, 0.0)).status, 410)
+        self.assertEqual((await self.store.watch(2, 0.0)).status, 200)
+
 
 if __name__ == "__main__":
     unittest.main()
