Soak: a server that drains writes that again after a restore; the summary counts what bound the instances

A server that had announced that it drains then stood as ready in the restored store, and its entry was removed 3.2 s later while it ran on, so that the older entry was never seen for long. Its entry is now removed when it stops.

--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -45,6 +45,8 @@
         self.versions = []
         # Newest version that each instance has answered by, and the time of that answer.
         self.newest_seen_version = {}
+        # Number of answers of instances that had to have the newest version in force.
+        self.bound_answers = 0
         self.last_fault = 0.0
 
     def report_violation(self, text):
@@ -177,6 +179,7 @@
         """Checks the version of an answer. An answer with missing parts may match several versions."""
         applied = [index for index, (_, acknowledged) in enumerate(self.versions) if sent_at - acknowledged > APPLY_S]
         in_touch = self.fault_free_for(CONTACT_S + APPLY_S) or self.in_touch(instance, sent_at)
+        self.bound_answers += bool(in_touch and applied and applied[-1] == len(self.versions) - 1)
         if applied and newest_match < applied[-1] and in_touch:
             late_s = sent_at - self.versions[applied[-1]][1]
             self.report_violation(f"{request_id} is answered at {instance} by version {newest_match} {late_s:.2f} s after {applied[-1]} was acknowledged")
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -281,7 +281,7 @@
             self.loop_delay_s += max(self.clock() - before - STALL_CHECK_INTERVAL_S, 0.0)
             if self.clock() - before > STALL_CHECK_INTERVAL_S + STALL_THRESHOLD_S:
                 self.last_stall_at = self.clock()
-                print(f"{self.last_stall_at:7.3f} the soak test stalled for {self.last_stall_at - before:.2f} s", flush=True)
+                print(f"{self.last_stall_at:7.3f} seed {self.seed}: the soak test stalled for {self.last_stall_at - before:.2f} s", flush=True)
 
     async def start(self):
         self.store_runner = web.ServerRunner(web.Server(self.store.handle, access_log=None), shutdown_timeout=0)
@@ -653,12 +653,11 @@
         else:
             await self.deployment.store.put("servers/" + old, None)
         self.deployment.checker.record_leaving_acknowledged(old)
-        await asyncio.sleep(3.2)  # Longer than DRAIN_S, so that no instance may still send requests when the server stops.
+        # Longer than DRAIN_S, so that no instance may still send requests when the server stops.
+        await asyncio.sleep(3.2 + (self.random.uniform(0.0, 6.0) if self.with_restores else 0.0))
+        if self.with_restores and backend.server_id != old:
+            return  # Another fault has replaced the server meanwhile.
         await self.deployment.store.put("servers/" + old, None)
-        if self.with_restores:
-            await asyncio.sleep(self.random.uniform(0.0, 6.0))
-            if backend.server_id != old or backend.runner is None:
-                return  # Another fault has ended the server meanwhile.
         await backend.stop()
         await self.restart_backend(backend)
 
@@ -722,8 +721,11 @@
         raise
     finally:
         await deployment.close()
+    with open(os.path.join(deployment.folder, "violations.log"), "w", encoding="utf-8") as file:
+        file.writelines(violation + "\n" for violation in violations)
     total = deployment.served + deployment.failed
-    print(f"seed {seed} {'BROKEN' if violations else 'ok'} requests={total} served={deployment.served / max(total, 1):.3f} logs={deployment.folder}", flush=True)
+    bound = deployment.checker.bound_answers
+    print(f"seed {seed} {'BROKEN' if violations else 'ok'} requests={total} served={deployment.served / max(total, 1):.3f} bound-to-version={bound} logs={deployment.folder}", flush=True)
     return violations
 
 
--- a/test/soak/stand_in.py
+++ b/test/soak/stand_in.py
@@ -159,11 +159,9 @@
             transport.abort()
 
     def is_lost(self, key):
-        """Returns whether what was last written to the key must be written again. A server writes again only if its entry is missing."""
-        value, item = self.written[key], self.items.get(key)
-        if value is None or item is None or key.startswith("servers/"):
-            return (value is None) != (item is None)
-        return base64.b64decode(item["value"]) != value
+        """Returns whether what the operator or a server last wrote to the key must be written again."""
+        item = self.items.get(key)
+        return self.written[key] != (None if item is None else base64.b64decode(item["value"]))
 
     async def write(self, key, value, lease=0):
         """Writes the value, or deletes the key if the value is None. Wakes the pending watches."""
--- a/test/soak/test_promises.py
+++ b/test/soak/test_promises.py
@@ -209,6 +209,7 @@
         self.now += 0.2
         self.probe(0, 200)
         self.assertEqual(self.violation_count(), 1)
+        self.assertEqual(self.checker.bound_answers, 1)
 
     def test_version_that_is_not_acknowledged_is_not_due(self):
         self.checker.versions.append(({"s3", "s4", "s5"}, math.inf))
@@ -308,7 +309,7 @@
         await self.store.put("servers/s1", b"ready")
         self.store.come_back(0.0)
         lost = [key for key in self.store.written if self.store.is_lost(key)]
-        self.assertEqual(lost, ["op/config", "op/evacuate/a", "servers/s1"])
+        self.assertEqual(lost, ["op/config", "servers/s0", "op/evacuate/a", "servers/s1"])
 
     async def test_writes_wait_until_the_store_is_back(self):
         self.store.leave("silent")
