Change feed: a list refutes an epoch that the store does not have

A late answer of an earlier epoch must still be dropped. What tells them apart is when the list was asked for: after the higher epoch had become known, an answer with a lower one is the store's present word. The list is then taken, and the refuted epoch is not believed from a peer again; the store itself may state it again.

--- a/include/ragwortcart/Control/StoreChangeFeed.h
+++ b/include/ragwortcart/Control/StoreChangeFeed.h
@@ -111,7 +111,8 @@
     /// The store has stated its epoch in an answer. A lower one than before belongs to an answer that has been overtaken, and is ignored.
     void onStoreEpoch(StoreEpoch epoch, Instant now);
     /// The store has been listed; all changes up to \p listPosition are known, among them all that were made before \p asOf. Returns false
-    /// if a later position has become known meanwhile; the caller must then ignore the list.
+    /// if a later position has become known meanwhile; the caller must then ignore the list. A list of an earlier epoch that was asked for after
+    /// the later one became known refutes that one.
     [[nodiscard]] bool onListed(std::span<const StoreItem> items, StorePosition listPosition, Instant asOf, Instant now);
     /// The store has answered a watch with the changes after the last known position, among them all that were made before \p asOf. \p upTo must
     /// be in the epoch of that position.
@@ -237,6 +238,8 @@
     /// Returns the usable peer that ranks first among those in the epoch of the contents, or nothing. With \p withSnapshot: among those that
     /// offer a snapshot of the latest epoch.
     std::optional<std::string> preferredPeer(bool withSnapshot, Instant now) const;
+    /// A peer has stated an epoch. The one that the store itself has refuted is not believed.
+    void onPeerEpoch(StoreEpoch epoch, Instant now);
     void chooseSource(Instant now);
     void chooseSnapshotSource(Instant now);
     void appendHistory(const StoreEvent &event);
@@ -274,8 +277,10 @@
     bool relay = false;
     /// All changes up to this position are known.
     StorePosition position;
-    /// Invariant: not lower than the epoch of `position`.
+    /// Invariant: not lower than the epoch of `position`. Goes down only when the store refutes it.
     StoreEpoch newestEpoch = 0;
+    /// An epoch that was stated although the store's own is lower. Another instance may not know that yet. 0 if there is none.
+    StoreEpoch refutedEpoch = 0;
     /// When `newestEpoch` became known.
     Instant newestEpochSince{};
     /// At this time the store held no change after `position`.
--- a/lib/Control/StoreChangeFeed.cpp
+++ b/lib/Control/StoreChangeFeed.cpp
@@ -222,6 +222,13 @@
     }
 }
 
+void StoreChangeFeed::onPeerEpoch(StoreEpoch epoch, Instant now)
+{
+    if (epoch != this->refutedEpoch) {
+        this->onStoreEpoch(epoch, now);
+    }
+}
+
 void StoreChangeFeed::onLinkUp(const std::string &peer, Instant now)
 {
     this->peers[peer] = {.lastContact = now};
@@ -259,7 +266,7 @@
     state.lastContact = now;
     state.distance = digest.distance;
     const bool changedEpoch = std::exchange(state.position, digest.position).epoch != digest.position.epoch;
-    this->onStoreEpoch(digest.position.epoch, now);
+    this->onPeerEpoch(digest.position.epoch, now);
     const bool changedVersion = std::exchange(state.knowsEpochs, digest.knowsEpochs) != digest.knowsEpochs;
     state.offersSnapshot = digest.offersSnapshot;
     state.lastDigestUs = digest.madeAtUs;
@@ -296,7 +303,7 @@
     }
     found->second.lastContact = now;
     if (message.position.epoch != this->position.epoch) {
-        this->onStoreEpoch(message.position.epoch, now);
+        this->onPeerEpoch(message.position.epoch, now);
         return;
     }
     if (message.after > this->position.revision) {
@@ -321,7 +328,7 @@
 
 void StoreChangeFeed::onSnapshot(const std::string &peer, const PeerStoreSnapshot &snapshot, Instant now)
 {
-    this->onStoreEpoch(snapshot.position.epoch, now);
+    this->onPeerEpoch(snapshot.position.epoch, now);
     const bool outdated = snapshot.position.epoch < this->newestEpoch || snapshot.position < this->position;
     if (!this->peers.contains(peer) || !this->hasGap || outdated) {
         return;
@@ -340,7 +347,11 @@
     this->onStoreEpoch(listPosition.epoch, now);
     this->storeAvailable = true;
     this->storeFailed = false;
-    if (listPosition.epoch < this->newestEpoch || listPosition < this->position) {
+    const bool refutesEpoch = listPosition.epoch < this->newestEpoch && asOf > this->newestEpochSince;
+    if (refutesEpoch) {
+        this->refutedEpoch = std::exchange(this->newestEpoch, listPosition.epoch);
+        this->newestEpochSince = now;
+    } else if (listPosition.epoch < this->newestEpoch || listPosition < this->position) {
         return false;
     }
     this->restartHistory(listPosition);
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -243,6 +243,12 @@
         this->onRevisionDecreased(listing);
         return false;
     }
+    if (const StoreEpoch refuted = this->actedOnEpoch; this->changeFeed.latestEpoch() < refuted) {
+        this->actedOnEpoch = this->changeFeed.latestEpoch();
+        logEvent(LogLevel::warning,
+                 "store-epoch-refuted",
+                 {{.key = "epoch", .value = std::to_string(this->actedOnEpoch)}, {.key = "refuted", .value = std::to_string(refuted)}});
+    }
     logEvent(LogLevel::info,
              "store-listed",
              {{.key = "position", .value = toText(listPosition)},
@@ -256,7 +262,7 @@
 
 void RouteControl::replaceState(std::span<const StoreItem> items, StorePosition itemsPosition)
 {
-    const bool beginsEpoch = this->position.revision > 0 && itemsPosition.epoch > this->position.epoch;
+    const bool beginsEpoch = this->position.revision > 0 && itemsPosition.epoch != this->position.epoch;
     const Instant now = steadyNow();
     if (beginsEpoch) {
         // What is missing may have to be written again, and what stands there may have been taken back.
--- a/lib/Runtime/RouteControlEntry.cpp
+++ b/lib/Runtime/RouteControlEntry.cpp
@@ -32,7 +32,7 @@
         }
         if (this->statedEpoch && granted->epoch < this->actedOnEpoch) {
             // A later epoch has begun meanwhile, which has lost this lease.
-            this->grantLease();
+            QTimer::singleShot(LEASE_RETRY_DELAY, this, [this] { this->grantLease(); });
             return;
         }
         this->lease = granted->id;
--- a/unittests/Control/StoreChangeFeedTest.cpp
+++ b/unittests/Control/StoreChangeFeedTest.cpp
@@ -882,6 +882,36 @@
     EXPECT_EQ(feed.latestEpoch(), 2U);
 }
 
+/// Guards against an instance that learns nothing any more after one answer, or one peer, has stated an epoch that the store never had.
+TEST(StoreChangeFeedEpochTest, aLaterListRefutesAnEpochThatTheStoreDoesNotHave)
+{
+    static constexpr StoreEpoch NO_EPOCH_OF_THE_STORE = StoreEpoch{1} << 63;
+    const Instant now{std::chrono::seconds(100)};
+    const Instant later = now + milliseconds(1);
+    StoreChangeFeed feed({.instance = "a0", .domain = "a"});
+    ASSERT_TRUE(feed.onListed({}, {.epoch = 2, .revision = 50}, now, now));
+    feed.onStoreEpoch(NO_EPOCH_OF_THE_STORE, now);
+    EXPECT_TRUE(feed.isBehindEpoch());
+    EXPECT_TRUE(feed.onListed({}, {.epoch = 2, .revision = 60}, later, later));
+    EXPECT_FALSE(feed.isBehindEpoch());
+    feed.onLinkUp("a1", later);
+    feed.onDigest("a1", {.position = {.epoch = NO_EPOCH_OF_THE_STORE, .revision = 1}, .distance = 0}, later);
+    EXPECT_FALSE(feed.isBehindEpoch());
+    feed.onDigest("a1", {.position = {.epoch = 3, .revision = 1}, .distance = 0}, later);
+    EXPECT_TRUE(feed.isBehindEpoch());
+}
+
+/// Guards against an instance that learns nothing any more from a store whose epoch has gone down.
+TEST(StoreChangeFeedEpochTest, aLaterListIsTakenFromAStoreWhoseEpochHasGoneDown)
+{
+    const Instant now{std::chrono::seconds(100)};
+    StoreChangeFeed feed({.instance = "a0", .domain = "a"});
+    ASSERT_TRUE(feed.onListed({}, {.epoch = 5, .revision = 50}, now, now));
+    EXPECT_TRUE(feed.onListed({}, {.epoch = 1, .revision = 20}, now + milliseconds(1), now + milliseconds(2)));
+    EXPECT_EQ(feed.latestEpoch(), 1U);
+    EXPECT_FALSE(feed.isBehindEpoch());
+}
+
 /// An epoch may be missed while an instance is cut off.
 TEST(StoreChangeFeedEpochTest, anEpochThatJumpsReplacesTheContents)
 {
--- a/unittests/Platform/RestoredStoreTest.cpp
+++ b/unittests/Platform/RestoredStoreTest.cpp
@@ -169,6 +169,22 @@
     EXPECT_TRUE(this->serves(CALLERS_PORT, "/added/1"));
 }
 
+/// Guards against instances that learn nothing any more from a store that states a lower epoch than before, or once one that it does not have.
+TEST_F(RestoredStoreTest, aStoreWhoseEpochIsLowerThanBeforeIsFollowed)
+{
+    this->thread.call([this] { this->store->statedEpoch = "9223372036854775808"; });
+    this->startAll();
+    this->startPeer(2);
+    ASSERT_TRUE(this->serves(CALLERS_PORT + PORT_STRIDE_PER_INSTANCE, "/one/1"));
+    this->thread.call([this] { this->store->statedEpoch = "3"; });
+    this->putRoutes(2, {"s0", "s1", "s2", "s3"}, "/added/");
+    EXPECT_TRUE(this->serves(CALLERS_PORT, "/added/1"));
+    EXPECT_TRUE(this->serves(CALLERS_PORT + PORT_STRIDE_PER_INSTANCE, "/added/1"));
+    this->putRoutes(3, {"s0", "s1", "s2", "s3"}, "/later/");
+    EXPECT_TRUE(this->serves(CALLERS_PORT, "/later/1"));
+    EXPECT_TRUE(this->serves(CALLERS_PORT + PORT_STRIDE_PER_INSTANCE, "/later/1"));
+}
+
 /// Guards against a version that goes back when the store does.
 TEST_F(RestoredStoreTest, aVersionThatTheStoreHasLostStaysInForce)
 {
