--- a/unittests/Control/StoreChangeFeedTest.cpp
+++ b/unittests/Control/StoreChangeFeedTest.cpp
@@ -772,6 +772,47 @@
     this->expectAllApplied("n4");
 }
 
+/// Guards against fleets that are late to follow a restored store, or that ask it more than the relays have to. The bounds are the targets of
+/// docs/CAPACITY.md.
+TEST_F(StoreChangeFeedTest, fleetsOfEachSizeFollowARestoredStoreInTime)
+{
+    struct Fleet
+    {
+        int domains;
+        int instances;
+        Duration bound;
+    };
+    for (const Fleet &fleet : {Fleet{4, 6, milliseconds(2000)}, Fleet{3, 74, milliseconds(2000)}, Fleet{5, 300, milliseconds(3000)}}) {
+        this->harnesses.clear();
+        this->instanceItems.clear();
+        this->linked.clear();
+        for (int index = 0; index < fleet.instances; ++index) {
+            this->addInstance("i" + std::to_string(index), std::string(1, static_cast<char>('a' + index % fleet.domains)));
+        }
+        for (int index = 0; index < 10; ++index) {
+            this->write("k" + std::to_string(this->now.time_since_epoch().count() + index));
+        }
+        this->run(milliseconds(3000));
+        this->resetCallCounts();
+        this->restoreOlderCopy(6);
+        const auto isBehind = [this](const auto &entry) { return entry.second.position != this->storePosition(); };
+        const Instant returned = this->now;
+        while (std::any_of(this->harnesses.begin(), this->harnesses.end(), isBehind) && this->now - returned < 2 * fleet.bound) {
+            this->run(STEP);
+        }
+        int lists = 0;
+        for (const auto &[name, harness] : this->harnesses) {
+            EXPECT_LE(harness.lists, harness.feed->isRelay() ? 2 : 0) << name;
+            lists += harness.lists;
+        }
+        EXPECT_LE(this->now - returned, fleet.bound) << fleet.instances << " instances";
+        const std::string size = std::to_string(fleet.instances);
+        RecordProperty("catch_up_ms_" + size, static_cast<int>(toMs(this->now - returned)));
+        RecordProperty("lists_" + size, lists);
+        RecordProperty("relays_" + size, static_cast<int>(this->relays().size()));
+    }
+}
+
 /// Guards against a fleet that lists the store all at once after its return: the relays do, and pass its contents on.
 TEST_F(StoreChangeFeedTest, onlyRelaysListAStoreFromAnOlderCopy)
 {
