Tests for status 000: also through an aggregator, and with a status that is missing or no number

A check, no fault: the answer of a server in trouble with a status that does not exist reaches no caller, for single requests and merged queries (six more statuses in RouteProcessTest.callersGetNoInvalidResponses) and on the way over an aggregator (DividedQueryTest.aStatusThatDoesNotExistReachesNoCallerThroughAnAggregator, nine statuses): an aggregator's reply carries records and no status of a server.

--- a/unittests/Platform/RouteProcessTest.cpp
+++ b/unittests/Platform/RouteProcessTest.cpp
@@ -201,6 +201,30 @@
     EXPECT_EQ(this->counter(1, "ragwort_store_calls_total", "kind=\"stale-list\""), 0);
 }
 
+/// Guards against the answer with status 000 of a server in trouble on the way over an aggregator: it counted as a part, or as the reply itself.
+TEST_F(DividedQueryTest, aStatusThatDoesNotExistReachesNoCallerThroughAnAggregator)
+{
+    this->startAll();
+    this->startPeer(2, 1.0);
+    this->startPeer(3, 1.0);
+    int routesVersion = 1;
+    for (const std::string status : {"000", "0", "099", "100", "199", "600", "999", "0x0", ""}) {
+        SCOPED_TRACE(status);
+        const RawResponseServer server("HTTP/1.1 " + status + " Status\r\nX-Server-Stamp: signature-of-s0\r\nContent-Length: 16\r\n\r\nrecord-of-s0-abc");
+        this->replaceServersOfS0(server, ++routesVersion);
+        const int gatheredBefore = this->gatheredByPeers();
+        const int requestsBefore = server.requests;
+        // The instances learn of the new server one after the other.
+        EXPECT_TRUE(pumpUntil([&] {
+            const std::string answer = this->query();
+            EXPECT_EQ(statusOf(answer), 200) << answer;
+            EXPECT_EQ(answer.find("of-s0"), std::string::npos) << answer;
+            const bool leftOut = answer.find("X-Missing-Parts: 1") != std::string::npos;
+            return leftOut && this->gatheredByPeers() > gatheredBefore && server.requests > requestsBefore;
+        }));
+    }
+}
+
 TEST_F(DividedQueryTest, queriesGoOnWhenTheAggregatorsAreGone)
 {
     this->startAll();
@@ -426,7 +450,13 @@
     static const std::string BODY = "\r\nrecord-of-s0-abc";
     const std::vector<std::string> invalid = {
         "HTTP/1.1 000 Status\r\n" + SIGNED + BODY,
+        "HTTP/1.1 0 Status\r\n" + SIGNED + BODY,
+        "HTTP/1.1 099 Status\r\n" + SIGNED + BODY,
         "HTTP/1.1 100 Status\r\n" + SIGNED + BODY,
+        "HTTP/1.1 199 Status\r\n" + SIGNED + BODY,
+        "HTTP/1.1 600 Status\r\n" + SIGNED + BODY,
+        "HTTP/1.1 0x0 Status\r\n" + SIGNED + BODY,
+        "HTTP/1.1  Status\r\n" + SIGNED + BODY,
         "HTTP/1.1 999 Status\r\n" + SIGNED + BODY,
         "HTTP/1.1 200 OK\r\n" + SIGNED + "X A: 1\r\n" + BODY,
         "HTTP/1.1 200 OK\r\n" + SIGNED + "X-A : 1\r\n" + BODY,
