StoreClient: a response with a status that does not exist states no epoch

An epoch is learned from any answer of the store, errors included, so that a response with a status such as 099 or 999, which no call takes for an answer, could state one: each instance then took the store for restored, and its own answers, of lower epochs, for outdated ones.

--- a/lib/Wire/NetworkReply.cpp
+++ b/lib/Wire/NetworkReply.cpp
@@ -5,12 +5,20 @@
 namespace ragwort {
 
 static constexpr int HTTP_OK = 200;
+/// The last status of a final response (RFC 9110, section 15).
+static constexpr int MAXIMUM_STATUS = 599;
 
 int statusOf(const QNetworkReply &reply)
 {
     return reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
 }
 
+bool hasFinalStatus(const QNetworkReply &reply)
+{
+    const int status = statusOf(reply);
+    return status >= HTTP_OK && status <= MAXIMUM_STATUS;
+}
+
 bool succeeded(const QNetworkReply &reply)
 {
     return reply.error() == QNetworkReply::NoError && statusOf(reply) == HTTP_OK;
--- a/unittests/Platform/StoreClientTest.cpp
+++ b/unittests/Platform/StoreClientTest.cpp
@@ -5,6 +5,7 @@
 #include "PlatformFakes.h"
 #include "Wire/LoopThread.h"
 #include "Wire/RawResponseServer.h"
+#include "platform/Names.h"
 
 #include <QCoreApplication>
 #include <QEventLoop>
@@ -172,6 +173,28 @@
     }
 }
 
+/// Guards against an epoch that is taken from a response with a status that does not exist: it counted as the store's return from an older copy, and
+/// the store's own answers as outdated from then on.
+TEST_F(StoreClientTest, takesNoEpochFromAResponseWithoutItsStatus)
+{
+    const auto statedEpoch = [](const std::string &status) {
+        const RawResponseServer server("HTTP/1.1 " + status + " Status\r\n" + std::string(STORE_EPOCH) + ": 9\r\nContent-Length: 2\r\n\r\n{}");
+        StoreClient client({.address = server.address()});
+        std::optional<StoreEpoch> epoch;
+        client.setEpochObserver([&epoch](StoreEpoch stated) { epoch = stated; });
+        QEventLoop loop;
+        client.readRange("p", "", ReadConsistency::latest, [&loop](const Result<StorePage> &) { loop.quit(); });
+        loop.exec();
+        return epoch;
+    };
+    for (const std::string status : {"000", "001", "099", "199", "600", "999"}) {
+        EXPECT_EQ(statedEpoch(status), std::nullopt) << status;
+    }
+    for (const std::string status : {"200", "404", "410", "412", "429", "500", "503"}) {
+        EXPECT_EQ(statedEpoch(status), StoreEpoch{9}) << status;
+    }
+}
+
 /// Qt drops all fields of a head in which it finds an invalid name, so that the length and the coding of the body are not known. A body that
 /// differs from the one that was meant must not be taken for an answer.
 TEST_F(StoreClientTest, takesNoBodyWhoseLengthIsLostForAnAnswer)
