--- a/test/config_in_force.py
+++ b/test/config_in_force.py
@@ -777,6 +777,21 @@
     await fleet.wait_in_force()
 
 
+async def new_instances_slow(fleet):
+    """Instances with new names join all at once, with a quarter of a second each way to the store, while versions come."""
+    for entry in fleet.entries[:6]:
+        await fleet.start_entry(entry)
+    while any(entry.seen < 1 for entry in fleet.entries[:6]):
+        await asyncio.sleep(0.05)
+    for entry in fleet.entries[6:]:
+        entry.store_proxy.delay_s = 0.25
+        await fleet.start_entry(entry)
+    for _ in range(8):
+        await fleet.write_version()
+        await asyncio.sleep(fleet.random.uniform(0.1, 0.3))
+    await fleet.wait_in_force()
+
+
 async def disturb_peers(fleet, disturb):
     """Disturbs what two instances send to or receive from peers that connected to them, while versions come."""
     chosen = fleet.random.sample(fleet.entries, 2)
@@ -851,6 +866,29 @@
     await fleet.wait_in_force()
 
 
+async def relay_silent_restored(fleet):
+    """The store comes back from an older copy as the links of some of twelve instances, perhaps relays, carry nothing any more."""
+    await silence_and_restore(fleet, fleet.random.sample(fleet.entries, fleet.random.randint(1, 6)))
+
+
+async def peers_silent_restored(fleet):
+    """The same with all links."""
+    await silence_and_restore(fleet, fleet.entries)
+
+
+async def silence_and_restore(fleet, chosen):
+    fleet.store.keep_copy()
+    await fleet.heartbeats(fleet.random.randint(3, 30))
+    await asyncio.sleep(2.5)
+    for entry in chosen:
+        entry.peer_proxy.fault_mode = "silent"
+        fleet.note(f"peers of {entry.name} are silent")
+    await fleet.restore(fleet.random.uniform(0.0, 0.3), fleet.write_version)
+    await fleet.wait_in_force()
+    await fleet.write_version()
+    await fleet.wait_in_force()
+
+
 async def cut_later(entry):
     """Cuts the instance off from the store as soon as its new process has started."""
     incarnation = entry.incarnation
@@ -923,6 +961,7 @@
     "fresh_start": (fresh_start, {"starts_itself": True, **RELAYS}),
     "fresh_start_slow": (fresh_start_slow, {"starts_itself": True, **RELAYS}),
     "new_instances": (new_instances, {"starts_itself": True, **RELAYS}),
+    "new_instances_slow": (new_instances_slow, {"starts_itself": True, **RELAYS}),
     "relay_links_slow": (relay_links_slow, RELAYS),
     "relay_links_silent": (relay_links_silent, RELAYS),
     "relay_links_oneway": (relay_links_oneway, RELAYS),
@@ -930,11 +969,13 @@
     "relay_slow_killed": (relay_slow_killed, RELAYS),
     "relay_silent_killed": (relay_silent_killed, RELAYS),
     "relay_paused_restored": (relay_paused_restored, RELAYS),
+    "relay_silent_restored": (relay_silent_restored, RELAYS),
+    "peers_silent_restored": (peers_silent_restored, RELAYS),
     "relay_paused": (relay_paused, RELAYS),
     "relay_restored": (relay_restored, RELAYS),
 }
-# Scenarios of the run without arguments of --only in CI.
-CI_SCENARIOS = ["first_write", "far_behind", "twice_at_once", "one_paused", "stale_first_start", "held_watch"]
+# Scenarios that --ci runs.
+CI_SCENARIOS = ["first_write", "far_behind", "twice_at_once", "one_paused", "one_starts", "stale_first_start", "held_watch", "fresh_start", "relay_restored"]
 
 
 async def run_scenario(name, seed, options):
