Start: an instance that misses changes waits for no relay

Cause: an instance with a new name suspends its watch and waits up to 2.5 s for a relay. If the relay's history begins later than the instance's list (changes-missing), no peer can be followed until the store supplies the changes, but the instance still waited; changes of that time were late. Change: the wait ends with the report of the missing changes.

--- a/lib/Runtime/RouteControlPeers.cpp
+++ b/lib/Runtime/RouteControlPeers.cpp
@@ -240,6 +240,8 @@
              {{.key = "peer", .value = missing.peer},
               {.key = "known", .value = std::to_string(missing.known)},
               {.key = "after", .value = std::to_string(missing.after)}});
+    // No peer can be followed until the store has supplied the changes, so there is no relay to wait for.
+    this->awaitRelayUntil = steadyNow();
 }
 
 void RouteControl::updateDesiredPeers()
