Store: a list that contradicts what is known is a failure of the store, not an answer

What happens, once the store has stated an epoch: a list of an earlier epoch, or of the same with a lower revision than was known before it was asked for, was ignored, yet counted as an answer and ended the count of failures. An instance that had not read anything went on to watch the store from revision 0 without contents, because nothing counts as behind an epoch before the first list.

A list that raced with changes from peers, or may be stale, is ignored as before; a store without epochs counts as restored as before.

RestoredStoreTest, StaleReadTest and StoreClientTest pass.

--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -152,6 +152,12 @@
     void onStoreEpoch(StoreEpoch epoch);
     /// Returns the position that an answer names. A store that states no epochs counts as in the latest one.
     StorePosition positionOf(StorePosition named) const;
+    /// Returns whether a list was asked for after the present position had become known, and may not be stale.
+    bool followsKnown(const Listing &listing) const;
+    /// Returns whether a list cannot be what the store holds: it is of an earlier epoch than the latest, or follows what is known with a lower
+    /// revision of the same epoch.
+    bool contradictsKnown(const Listing &listing) const;
+    void reportOutdatedList(const Listing &listing, StorePosition listPosition);
     /// A list that may not be stale names a revision before one that was known when it was asked for. A store that states no epochs must have been
     /// restored from an older copy.
     void onRevisionDecreased(const Listing &listing);
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -95,10 +95,31 @@
     return this->statedEpoch ? named : StorePosition{.epoch = this->changeFeed.latestEpoch(), .revision = named.revision};
 }
 
+bool RouteControl::followsKnown(const Listing &listing) const
+{
+    return listing.consistency == ReadConsistency::latest && listing.requestedAt > this->positionKnownSince;
+}
+
+bool RouteControl::contradictsKnown(const Listing &listing) const
+{
+    const StorePosition listPosition = this->positionOf(listing.pages.position());
+    const bool decreased = this->statedEpoch && this->followsKnown(listing) && listPosition < this->position;
+    return decreased || listPosition.epoch < this->changeFeed.latestEpoch();
+}
+
+void RouteControl::reportOutdatedList(const Listing &listing, StorePosition listPosition)
+{
+    this->storeCalls.outdatedLists.add();
+    logEvent(LogLevel::warning,
+             "store-list-outdated",
+             {{.key = "position", .value = toText(listPosition)},
+              {.key = "known", .value = toText(this->position)},
+              {.key = "asked_ms_ago", .value = std::to_string(toMs(steadyNow() - listing.requestedAt))}});
+}
+
 void RouteControl::onRevisionDecreased(const Listing &listing)
 {
-    const bool knownBefore = listing.consistency == ReadConsistency::latest && listing.requestedAt > this->positionKnownSince;
-    if (knownBefore && !this->statedEpoch && !this->changeFeed.isBehindEpoch()) {
+    if (this->followsKnown(listing) && !this->statedEpoch && !this->changeFeed.isBehindEpoch()) {
         this->changeFeed.onStoreEpoch(this->position.epoch + 1, steadyNow());
         this->performChangeFeedActions();
     }
@@ -183,19 +204,18 @@
             this->listPage(listing);
             return;
         }
+        if (this->contradictsKnown(*listing)) {
+            this->reportOutdatedList(*listing, listing->pages.position());
+            this->onStoreFailure(
+                {.code = Errc::protocolViolation, .step = "store-range", .peer = {}, .detail = "an earlier list, at " + toText(listing->pages.position())},
+                true);
+            return;
+        }
         this->onStoreResponse();
         this->lastListIgnored = !this->applyListing(*listing);
         if (listing->number != this->readNumber) {
             return;
         }
-        if (this->lastListIgnored && this->changeFeed.isBehindEpoch()) {
-            this->onStoreFailure({.code = Errc::protocolViolation,
-                                  .step = "store-range",
-                                  .peer = {},
-                                  .detail = "a list of an earlier epoch, at " + toText(listing->pages.position())},
-                                 true);
-            return;
-        }
         if (this->awaitsRelay) {
             this->awaitRelay();
         } else {
@@ -239,12 +259,7 @@
     const StorePosition listPosition = this->positionOf(possiblyStale ? listing.pages.provenPosition() : listing.pages.position());
     const Instant asOf = possiblyStale ? listing.requestedAt - STALE_LIST_AGE : listing.requestedAt;
     if (!this->changeFeed.onListed(items, listPosition, asOf, steadyNow())) {
-        this->storeCalls.outdatedLists.add();
-        logEvent(LogLevel::warning,
-                 "store-list-outdated",
-                 {{.key = "position", .value = toText(listPosition)},
-                  {.key = "known", .value = toText(this->position)},
-                  {.key = "asked_ms_ago", .value = std::to_string(toMs(steadyNow() - listing.requestedAt))}});
+        this->reportOutdatedList(listing, listPosition);
         this->onRevisionDecreased(listing);
         return false;
     }
