Own entry: an answer about a lost lease has no effect on the next one

What happens: the store is restored while the own entry is being written. The write fails late, and a second lease is asked for beside the one that the new epoch has begun: one of the two is not renewed, and two chains of renewals may go on for the rest of the process' life. A restored store also gives out the number of the lost lease again, most likely to the same instance if it is the first to ask, so that comparing numbers does not tell the two apart. Cause: the answer was compared with the number of the lease at the time of the answer, or not at all.

Leases are now told apart by a count of this instance's own, and only one is asked for at a time.

RouteControlTest.aLateAnswerAboutTheEntryOfAnEarlierEpochBeginsNoSecondLease and aLeaseWithTheNumberOfTheLostOneIsNotTakenForIt fail before (3 leases asked for in place of 2; the second also with a comparison of numbers) and pass. RestoredStoreTest passes.

--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -232,6 +232,10 @@
     Instant epochKnownSince{};
     /// Lease of this instance's own entry. 0 before the first lease is granted, and while a new one is.
     LeaseId lease = 0;
+    /// Incremented whenever `lease` is granted or lost. Tells leases apart whose numbers a restored store has given out twice.
+    std::uint64_t leaseNumber = 0;
+    /// A lease is being granted, or will be asked for again after a failure.
+    bool awaitsLease = false;
     bool leaving = false;
     /// True while a peer forwards the events and no watch or listing of the store is pending or scheduled, and while a relay is awaited.
     bool watchSuspended = false;
--- a/lib/Runtime/RouteControlEntry.cpp
+++ b/lib/Runtime/RouteControlEntry.cpp
@@ -17,15 +17,19 @@
 
 void RouteControl::grantLease()
 {
-    if (this->leaving) {
+    if (this->leaving || std::exchange(this->awaitsLease, true)) {
         return;
     }
     this->storeCalls.grants.add();
     this->options.store.grantLease(LEASE_TTL, [this](const Result<StoreLease> &granted) {
         if (!granted) {
-            QTimer::singleShot(LEASE_RETRY_DELAY, this, [this] { this->grantLease(); });
+            QTimer::singleShot(LEASE_RETRY_DELAY, this, [this] {
+                this->awaitsLease = false;
+                this->grantLease();
+            });
             return;
         }
+        this->awaitsLease = false;
         if (this->leaving) {
             this->options.store.endLease(granted->id);
             return;
@@ -36,6 +40,7 @@
             return;
         }
         this->lease = granted->id;
+        ++this->leaseNumber;
         this->publishInstanceEntry();
     });
 }
@@ -47,19 +52,20 @@
                             .peerAddress = this->links ? this->options.peersAddress : std::string(),
                             .capacity = this->options.capacity};
     this->storeCalls.writes.add();
-    this->options.store.put(
-        this->options.format.instanceKey(self.name), this->options.format.encodeInstance(self), this->lease, [this](const Result<StorePosition> &written) {
-            if (!written) {
-                logEvent(LogLevel::warning, "own-entry-not-written", {{.key = "error", .value = written.error().describe()}});
-                QTimer::singleShot(LEASE_RETRY_DELAY, this, [this] { this->grantLease(); });
-                return;
-            }
-            QTimer::singleShot(LEASE_RENEWAL_INTERVAL, this, [this, expectedLease = this->lease] {
-                if (expectedLease == this->lease) {
-                    this->renewLease();
-                }
-            });
-        });
+    this->options.store.put(this->options.format.instanceKey(self.name),
+                            this->options.format.encodeInstance(self),
+                            this->lease,
+                            [this, number = this->leaseNumber](const Result<StorePosition> &written) {
+                                if (!written) {
+                                    logEvent(LogLevel::warning, "own-entry-not-written", {{.key = "error", .value = written.error().describe()}});
+                                }
+                                const auto next = written ? &RouteControl::renewLease : &RouteControl::grantLease;
+                                QTimer::singleShot(written ? LEASE_RENEWAL_INTERVAL : LEASE_RETRY_DELAY, this, [this, number, next] {
+                                    if (number == this->leaseNumber) {
+                                        (this->*next)();
+                                    }
+                                });
+                            });
 }
 
 void RouteControl::renewOwnEntry()
@@ -70,6 +76,7 @@
     }
     // The number of the lost lease may be given out again, to another instance: it is neither renewed nor ended.
     this->lease = 0;
+    ++this->leaseNumber;
     const Duration spread = OWN_ENTRY_SPREAD_PER_INSTANCE * this->registry.liveInstances();
     const Duration delay = spread * static_cast<int>(stableHash(this->options.instance) % SPREAD_STEPS) / SPREAD_STEPS;
     QTimer::singleShot(static_cast<int>(toMs(delay)), this, [this] {
@@ -85,17 +92,17 @@
         return;
     }
     this->storeCalls.renewals.add();
-    this->options.store.renewLease(this->lease, [this, expectedLease = this->lease](const Result<StoreLease> &renewed) {
-        if (expectedLease != this->lease || this->leaving) {
+    this->options.store.renewLease(this->lease, [this, number = this->leaseNumber](const Result<StoreLease> &renewed) {
+        if (number != this->leaseNumber || this->leaving) {
             return;
         }
         if (!renewed && renewed.error().code == Errc::notFound) {
-            logEvent(LogLevel::warning, "lease-ended", {{.key = "lease", .value = std::to_string(expectedLease)}});
+            logEvent(LogLevel::warning, "lease-ended", {{.key = "lease", .value = std::to_string(this->lease)}});
             this->grantLease();
             return;
         }
-        QTimer::singleShot(renewed ? LEASE_RENEWAL_INTERVAL : LEASE_RETRY_DELAY, this, [this, expectedLease] {
-            if (expectedLease == this->lease) {
+        QTimer::singleShot(renewed ? LEASE_RENEWAL_INTERVAL : LEASE_RETRY_DELAY, this, [this, number] {
+            if (number == this->leaseNumber) {
                 this->renewLease();
             }
         });
--- a/unittests/Runtime/RouteControlTest.cpp
+++ b/unittests/Runtime/RouteControlTest.cpp
@@ -17,6 +17,9 @@
 
 /// Time within which a call that is due is made. Only a test that fails waits for so long.
 constexpr milliseconds CALL_WAIT = std::chrono::seconds(10);
+/// More than the pause before a failed call of the own entry is repeated.
+constexpr milliseconds ENTRY_RETRY_WAIT = milliseconds(1500);
+
 /// Keeps the calls until the test answers them.
 class ScriptedStore : public MetadataStore
 {
@@ -199,4 +202,37 @@
     EXPECT_EQ(this->store.watches.size(), 1U);
 }
 
+/// Guards against two leases at a time, one of which expires later on with the entry: an answer about the entry of an earlier epoch arrived late.
+TEST_F(RouteControlTest, aLateAnswerAboutTheEntryOfAnEarlierEpochBeginsNoSecondLease)
+{
+    this->store.answerGrant(0, 7, 1);
+    this->store.answerList(0, {.epoch = 1, .revision = 40});
+    ASSERT_EQ(this->store.puts.size(), 1U);
+    this->store.stateEpoch(2);
+    ASSERT_TRUE(this->awaitCalls(this->store.grants, 2));
+    this->store.puts.front().callback(Error{.code = Errc::notFound, .step = "store-put", .peer = {}, .detail = {}});
+    this->store.answerGrant(1, 8, 2);
+    ASSERT_EQ(this->store.puts.size(), 2U);
+    EXPECT_EQ(this->store.puts.back().lease, 8U);
+    this->store.answerPut(1, {.epoch = 2, .revision = 31});
+    this->pumpFor(ENTRY_RETRY_WAIT);
+    EXPECT_EQ(this->store.grants.size(), 2U);
+}
+
+/// Guards against the same when the lost lease and the new one have the same number, as the restored store gives numbers out again.
+TEST_F(RouteControlTest, aLeaseWithTheNumberOfTheLostOneIsNotTakenForIt)
+{
+    this->store.answerGrant(0, 7, 1);
+    this->store.answerList(0, {.epoch = 1, .revision = 40});
+    ASSERT_EQ(this->store.puts.size(), 1U);
+    this->store.stateEpoch(2);
+    ASSERT_TRUE(this->awaitCalls(this->store.grants, 2));
+    this->store.answerGrant(1, 7, 2);
+    ASSERT_EQ(this->store.puts.size(), 2U);
+    this->store.puts.front().callback(Error{.code = Errc::timeout, .step = "store-put", .peer = {}, .detail = {}});
+    this->store.answerPut(1, {.epoch = 2, .revision = 31});
+    this->pumpFor(ENTRY_RETRY_WAIT);
+    EXPECT_EQ(this->store.grants.size(), 2U);
+}
+
 } // namespace ragwort
