Own entry: one that was written before the first list is written again after a restore

What happens: an instance starts while the store is restored. Its lease is granted and its entry written before, its first list is answered after. Nothing counts as lost, as no contents of the earlier epoch had been read; the entry is gone. The renewal, 9 s later, finds that only if the number of the lease has not been given out again; otherwise it renews another instance's lease, and the entry is missing for good: the others do not link with the instance and divide budgets by too few.

The epoch of the lease now decides. RouteControlTest.anEntryThatWasWrittenBeforeTheFirstListIsWrittenAgain fails before (no second lease asked for in 10 s) and passes; RouteControlTests pass.

--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -234,6 +234,8 @@
     LeaseId lease = 0;
     /// Incremented whenever `lease` is granted or lost. Tells leases apart whose numbers a restored store has given out twice.
     std::uint64_t leaseNumber = 0;
+    /// Epoch in which the lease was granted last.
+    StoreEpoch leaseEpoch = 0;
     /// A lease is being granted, or will be asked for again after a failure.
     bool awaitsLease = false;
     bool leaving = false;
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -129,7 +129,10 @@
 {
     const StoreEpoch before = std::exchange(this->actedOnEpoch, this->changeFeed.latestEpoch());
     if (this->position.revision == 0) {
-        // Nothing has been read in an earlier epoch.
+        // Nothing has been read in an earlier epoch, but the own entry may have been written in one.
+        if (this->statedEpoch && this->leaseEpoch < this->actedOnEpoch) {
+            this->renewOwnEntry();
+        }
         return;
     }
     this->epochKnownSince = steadyNow();
--- a/lib/Runtime/RouteControlEntry.cpp
+++ b/lib/Runtime/RouteControlEntry.cpp
@@ -41,6 +41,7 @@
         }
         this->lease = granted->id;
         ++this->leaseNumber;
+        this->leaseEpoch = granted->epoch;
         this->publishInstanceEntry();
     });
 }
--- a/unittests/Runtime/RouteControlTest.cpp
+++ b/unittests/Runtime/RouteControlTest.cpp
@@ -235,4 +235,17 @@
     EXPECT_EQ(this->store.grants.size(), 2U);
 }
 
+/// Guards against an instance that starts while the store is restored and whose entry is lost for good if the number of its lease is given out again.
+TEST_F(RouteControlTest, anEntryThatWasWrittenBeforeTheFirstListIsWrittenAgain)
+{
+    this->store.answerGrant(0, 7, 1);
+    ASSERT_EQ(this->store.puts.size(), 1U);
+    this->store.answerPut(0, {.epoch = 1, .revision = 41});
+    this->store.answerList(0, {.epoch = 2, .revision = 30});
+    ASSERT_TRUE(this->awaitCalls(this->store.grants, 2));
+    this->store.answerGrant(1, 8, 2);
+    ASSERT_EQ(this->store.puts.size(), 2U);
+    EXPECT_EQ(this->store.puts.back().lease, 8U);
+}
+
 } // namespace ragwort
