--- a/unittests/Control/StoreChangeFeedTest.cpp
+++ b/unittests/Control/StoreChangeFeedTest.cpp
@@ -435,6 +435,24 @@
         std::erase_if(this->deadSince, [&](const auto &dead) { return this->now >= this->deadUntil.at(dead.first); });
     }
 
+    /// An instance leaves, or one that has left starts again.
+    void leaveOrStart()
+    {
+        if (!this->departed.empty()) {
+            const auto [name, domain] = this->departed.front();
+            this->departed.pop_front();
+            this->addInstance(name, domain);
+            this->harnesses.at(name).lastFault = this->now;
+            return;
+        }
+        const auto leaving = std::next(this->harnesses.begin(), this->random(static_cast<std::uint32_t>(this->harnesses.size())));
+        const std::string name = leaving->first;
+        this->departed.emplace_back(name, this->instanceItems.at(name).domain);
+        leaving->second.feed->leave(this->now);
+        this->deliver();
+        this->removeInstance(name);
+    }
+
     void endAllFaults()
     {
         for (auto &[name, harness] : this->harnesses) {
@@ -475,6 +493,8 @@
 
     pcg32 random{GetParam()};
     std::deque<std::string> toWriteAgain;
+    /// Names and failure domains of instances that have left.
+    std::deque<std::pair<std::string, std::string>> departed;
     std::map<std::string, Instant> faultUntil;
     std::map<std::pair<std::string, std::string>, Instant> deadUntil;
 };
@@ -847,6 +867,9 @@
         if (this->random(80) == 0) {
             this->restoreAndWriteAgainLater();
         }
+        if (this->random(150) == 0) {
+            this->leaveOrStart();
+        }
         this->beginAndEndFaults();
         this->run(STEP);
         for (const auto &[name, harness] : this->harnesses) {
