--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -158,6 +158,12 @@
     void onStoreEpoch(StoreEpoch epoch);
     /// Returns the position that an answer names. A store that states no epochs counts as in the latest one.
     StorePosition positionOf(StorePosition named) const;
+    /// Returns whether a list was asked for after the present position had become known, and may not be stale.
+    bool followsKnown(const Listing &listing) const;
+    /// Returns whether a list cannot be what the store holds: it is of an earlier epoch than the latest, or follows what is known with a lower
+    /// revision of the same epoch.
+    bool contradictsKnown(const Listing &listing) const;
+    void reportOutdatedList(const Listing &listing, StorePosition listPosition);
     /// A list that may not be stale names a revision before one that was known when it was asked for. A store that states no epochs must have been
     /// restored from an older copy.
     void onRevisionDecreased(const Listing &listing);
@@ -238,6 +244,12 @@
     Instant epochKnownSince{};
     /// Lease of this instance's own entry. 0 before the first lease is granted, and while a new one is.
     LeaseId lease = 0;
+    /// Incremented whenever `lease` is granted or lost. Tells leases apart whose numbers a restored store has given out twice.
+    std::uint64_t leaseNumber = 0;
+    /// Epoch in which the lease was granted last.
+    StoreEpoch leaseEpoch = 0;
+    /// A lease is being granted, or will be asked for again after a failure.
+    bool awaitsLease = false;
     bool leaving = false;
     /// True while a peer forwards the events and no watch or listing of the store is pending or scheduled, and while a relay is awaited.
     bool watchSuspended = false;
