--- a/include/ragwortcart/Control/StoreChangeFeed.h
+++ b/include/ragwortcart/Control/StoreChangeFeed.h
@@ -29,6 +29,9 @@
 /// Interval at which each instance sends its revision and its distance from the store to its linked peers.
 inline constexpr Duration STORE_DIGEST_INTERVAL = std::chrono::milliseconds(500);
 
+/// How long an instance that is no relay waits for a peer to send the contents of a new epoch.
+inline constexpr Duration NEW_EPOCH_WAIT = std::chrono::milliseconds(1000);
+
 struct SendStoreMessage
 {
     std::string peer;
@@ -89,7 +92,7 @@
         /// A peer that asks again for a snapshot of the same epoch gets the next one after this time.
         Duration snapshotInterval = std::chrono::seconds(2);
         /// How long an instance that is no relay waits for a peer's snapshot of a new epoch before it lists the store itself.
-        Duration newEpochWait = std::chrono::milliseconds(1000);
+        Duration newEpochWait = NEW_EPOCH_WAIT;
     };
 
     explicit StoreChangeFeed(Options feedOptions);
@@ -139,6 +142,11 @@
     }
     /// Returns true while a peer is expected to send the contents of the later epoch, so that this instance need not list the store.
     bool awaitsNewEpoch(Instant now) const;
+    /// Returns whether an answer of the store in \p epoch, which covers \p asOf, shows that the latest epoch is not the store's.
+    bool refutesEpoch(StoreEpoch epoch, Instant asOf) const
+    {
+        return epoch < this->newestEpoch && asOf > this->newestEpochSince;
+    }
     /// Returns the latest epoch that the store or a peer has stated.
     StoreEpoch latestEpoch() const
     {
--- a/include/ragwortcart/Control/StorePosition.h
+++ b/include/ragwortcart/Control/StorePosition.h
@@ -6,7 +6,6 @@
 #ifndef RAGWORTCART_CONTROL_STOREPOSITION_H
 #define RAGWORTCART_CONTROL_STOREPOSITION_H
 
-#include <compare>
 #include <cstdint>
 #include <string>
 
@@ -25,7 +24,23 @@
     /// 0 before the first contents are known.
     StoreRevision revision = 0;
 
-    auto operator<=>(const StorePosition &) const = default;
+    friend bool operator==(const StorePosition &, const StorePosition &) = default;
+    friend bool operator<(const StorePosition &left, const StorePosition &right)
+    {
+        return left.epoch != right.epoch ? left.epoch < right.epoch : left.revision < right.revision;
+    }
+    friend bool operator>(const StorePosition &left, const StorePosition &right)
+    {
+        return right < left;
+    }
+    friend bool operator<=(const StorePosition &left, const StorePosition &right)
+    {
+        return !(right < left);
+    }
+    friend bool operator>=(const StorePosition &left, const StorePosition &right)
+    {
+        return !(left < right);
+    }
 };
 
 /// Returns \p position for a log line, in the form EPOCH:REVISION.
--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -142,7 +142,8 @@
 
     // Watching the store (RouteControl.cpp).
     void listStore(ReadConsistency consistency = ReadConsistency::latest);
-    /// Lists the store at once. What is pending or scheduled of the reads before has no effect any more.
+    /// Lists the store at once, or after a pause if that has happened just before. What is pending or scheduled of the reads before has no effect
+    /// any more.
     void restartReading();
     /// Calls \p next after \p pause, unless the reading is restarted meanwhile.
     void continueAfter(Duration pause, std::function<void()> next);
@@ -158,6 +159,8 @@
     void onStoreEpoch(StoreEpoch epoch);
     /// Returns the position that an answer names. A store that states no epochs counts as in the latest one.
     StorePosition positionOf(StorePosition named) const;
+    /// Returns the time before which all changes are part of a list.
+    static Instant coveredUntil(const Listing &listing);
     /// Returns whether a list was asked for after the present position had become known, and may not be stale.
     bool followsKnown(const Listing &listing) const;
     /// Returns whether a list cannot be what the store holds: it is of an earlier epoch than the latest, or follows what is known with a lower
@@ -269,8 +272,12 @@
     Instant lostSince{};
     /// Number of restarts of the reading. Only one watch or listing with this number is pending or scheduled.
     std::uint64_t readNumber = 0;
+    /// When the reading was last restarted.
+    Instant restartedAt{};
     /// Number of watches and listings that failed since the last successful one.
     int consecutiveFailures = 0;
+    /// Number of watches whose revision the store no longer had since the last one that it answered.
+    int watchesWithoutHistory = 0;
     /// Set if applied events are not yet part of the published topology.
     bool rebuildNeeded = false;
     QTimer expiryTimer;
--- a/lib/Control/StoreChangeFeed.cpp
+++ b/lib/Control/StoreChangeFeed.cpp
@@ -206,7 +206,9 @@
 
 bool StoreChangeFeed::awaitsNewEpoch(Instant now) const
 {
-    return this->isBehindEpoch() && !this->relay && !this->peers.empty() && now - this->newestEpochSince < this->options.newEpochWait;
+    const auto isHeard = [&](const auto &peer) { return now - peer.second.lastContact < this->options.peerTimeout; };
+    const bool waits = this->isBehindEpoch() && !this->relay && now - this->newestEpochSince < this->options.newEpochWait;
+    return waits && std::any_of(this->peers.begin(), this->peers.end(), isHeard);
 }
 
 void StoreChangeFeed::onStoreEpoch(StoreEpoch epoch, Instant now)
@@ -347,8 +349,7 @@
     this->onStoreEpoch(listPosition.epoch, now);
     this->storeAvailable = true;
     this->storeFailed = false;
-    const bool refutesEpoch = listPosition.epoch < this->newestEpoch && asOf > this->newestEpochSince;
-    if (refutesEpoch) {
+    if (this->refutesEpoch(listPosition.epoch, asOf)) {
         this->refutedEpoch = std::exchange(this->newestEpoch, listPosition.epoch);
         this->newestEpochSince = now;
     } else if (listPosition.epoch < this->newestEpoch || listPosition < this->position) {
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -90,6 +90,11 @@
     return this->statedEpoch ? named : StorePosition{.epoch = this->changeFeed.latestEpoch(), .revision = named.revision};
 }
 
+Instant RouteControl::coveredUntil(const Listing &listing)
+{
+    return listing.consistency == ReadConsistency::latest ? listing.requestedAt : listing.requestedAt - STALE_LIST_AGE;
+}
+
 bool RouteControl::followsKnown(const Listing &listing) const
 {
     return listing.consistency == ReadConsistency::latest && listing.requestedAt > this->positionKnownSince;
@@ -98,8 +103,10 @@
 bool RouteControl::contradictsKnown(const Listing &listing) const
 {
     const StorePosition listPosition = this->positionOf(listing.pages.position());
-    const bool decreased = this->statedEpoch && this->followsKnown(listing) && listPosition < this->position;
-    return decreased || listPosition.epoch < this->changeFeed.latestEpoch();
+    if (listPosition.epoch < this->changeFeed.latestEpoch() && !this->changeFeed.refutesEpoch(listPosition.epoch, coveredUntil(listing))) {
+        return true;
+    }
+    return this->statedEpoch && this->followsKnown(listing) && listPosition.epoch == this->position.epoch && listPosition < this->position;
 }
 
 void RouteControl::reportOutdatedList(const Listing &listing, StorePosition listPosition)
@@ -138,9 +145,13 @@
               {.key = "before", .value = std::to_string(before)},
               {.key = "known", .value = toText(this->position)}});
     this->renewOwnEntry();
-    if (!this->watchSuspended && !this->changeFeed.awaitsNewEpoch(steadyNow())) {
-        this->restartReading();
+    if (!this->changeFeed.awaitsNewEpoch(steadyNow())) {
+        if (!this->watchSuspended) {
+            this->restartReading();
+        }
+        return;
     }
+    QTimer::singleShot(milliseconds(NEW_EPOCH_WAIT) + 1, this, [this] { this->performChangeFeedActions(); });
 }
 
 void RouteControl::leave()
@@ -166,6 +177,12 @@
 void RouteControl::restartReading()
 {
     ++this->readNumber;
+    const Duration pause = std::max(this->restartedAt + MAXIMUM_RETRY_DELAY - steadyNow(), Duration::zero());
+    if (pause > Duration::zero()) {
+        this->continueAfter(pause, [this] { this->restartReading(); });
+        return;
+    }
+    this->restartedAt = steadyNow();
     this->listStore();
 }
 
@@ -255,8 +272,7 @@
     const std::span<const StoreItem> items = listing.pages.items();
     const bool possiblyStale = listing.consistency == ReadConsistency::possiblyStale;
     const StorePosition listPosition = this->positionOf(possiblyStale ? listing.pages.provenPosition() : listing.pages.position());
-    const Instant asOf = possiblyStale ? listing.requestedAt - STALE_LIST_AGE : listing.requestedAt;
-    if (!this->changeFeed.onListed(items, listPosition, asOf, steadyNow())) {
+    if (!this->changeFeed.onListed(items, listPosition, coveredUntil(listing), steadyNow())) {
         this->reportOutdatedList(listing, listPosition);
         this->onRevisionDecreased(listing);
         return false;
@@ -390,9 +406,10 @@
         this->onStoreFailure({.code = Errc::protocolViolation, .step = "store-watch", .peer = {}, .detail = "an earlier position, " + toText(upTo)}, true);
         return;
     }
+    this->watchesWithoutHistory = 0;
     const Instant now = steadyNow();
-    const Instant coveredUntil = watchCoversUntil(answered.requestedAt, answered.wait, *result);
-    this->changeFeed.onStoreEvents(result->events, upTo, this->registry.remainingRemovalGrace(now), coveredUntil, now);
+    const Instant asOf = watchCoversUntil(answered.requestedAt, answered.wait, *result);
+    this->changeFeed.onStoreEvents(result->events, upTo, this->registry.remainingRemovalGrace(now), asOf, now);
     this->applyEvents(result->events, upTo);
     this->performChangeFeedActions();
     // Only a few instances are relays, so a relay uses the minimum pause.
@@ -610,9 +627,11 @@
         this->lostSince = steadyNow();
         logEvent(LogLevel::warning, "dependency-lost", {{.key = "dependency", .value = "store"}, {.key = "error", .value = error.describe()}});
     }
-    // A store that has compacted its history is reachable, so the listing starts without delay.
-    const bool storeResponds = error.code == Errc::historyGone && this->consecutiveFailures == 1;
-    const Duration pause = storeResponds ? Duration::zero() : std::min(INITIAL_RETRY_DELAY * this->consecutiveFailures, MAXIMUM_RETRY_DELAY);
+    // A store that has compacted its history is reachable, so the listing starts without delay, unless it does not help.
+    this->watchesWithoutHistory += error.code == Errc::historyGone ? 1 : 0;
+    const bool storeResponds = error.code == Errc::historyGone && this->consecutiveFailures == 1 && this->watchesWithoutHistory == 1;
+    const int failures = std::max(this->consecutiveFailures, this->watchesWithoutHistory);
+    const Duration pause = storeResponds ? Duration::zero() : std::min(INITIAL_RETRY_DELAY * failures, MAXIMUM_RETRY_DELAY);
     const bool listAgain = relist || this->position.revision == 0;
     this->continueAfter(pause, [this, listAgain] {
         if (listAgain) {
--- a/unittests/Control/StoreChangeFeedTest.cpp
+++ b/unittests/Control/StoreChangeFeedTest.cpp
@@ -946,6 +946,24 @@
     EXPECT_EQ(feed.latestEpoch(), 2U);
 }
 
+/// Guards against a follower that waits for the contents of a new epoch from peers that it has not heard for long.
+TEST(StoreChangeFeedEpochTest, noNewEpochIsAwaitedFromSilentPeers)
+{
+    const Instant now{std::chrono::seconds(100)};
+    StoreChangeFeed feed({.instance = "a0", .domain = "a"});
+    const std::vector<InstanceItem> items{{.name = "a0", .domain = "a", .peerAddress = "10.0.0.1:1", .capacity = 0.1},
+                                          {.name = "a1", .domain = "a", .peerAddress = "10.0.0.2:1", .capacity = 1.0},
+                                          {.name = "a2", .domain = "a", .peerAddress = "10.0.0.3:1", .capacity = 1.0}};
+    feed.replaceInstances(items);
+    ASSERT_FALSE(feed.isRelay());
+    ASSERT_TRUE(feed.onListed({}, {.epoch = 2, .revision = 50}, now, now));
+    feed.onLinkUp("a1", now);
+    const Instant later = now + milliseconds(1500);
+    feed.onStoreEpoch(3, later);
+    EXPECT_TRUE(feed.awaitsNewEpoch(later));
+    EXPECT_FALSE(feed.awaitsNewEpoch(now + milliseconds(1600))) << "the peer has been silent for the peer timeout";
+}
+
 /// Guards against an instance that learns nothing any more after one answer, or one peer, has stated an epoch that the store never had.
 TEST(StoreChangeFeedEpochTest, aLaterListRefutesAnEpochThatTheStoreDoesNotHave)
 {
--- a/unittests/Runtime/RouteControlTest.cpp
+++ b/unittests/Runtime/RouteControlTest.cpp
@@ -185,23 +185,49 @@
     EXPECT_EQ(this->store.watches.front().position, (StorePosition{.epoch = 2, .revision = 30}));
 }
 
-/// Guards against a store that answers with an earlier position than before, of an earlier epoch or of the same, and is then listed and watched by each
-/// instance without a pause and without end.
-TEST_F(RouteControlTest, aStoreThatGoesBackWithoutALaterEpochIsListedLessAndLessOften)
+/// Guards against a store that answers with a lower revision of the same epoch than before, and is then listed and watched by each instance without a
+/// pause and without end.
+TEST_F(RouteControlTest, aStoreThatGoesBackWithinAnEpochIsListedLessAndLessOften)
 {
     this->store.answerList(0, {.epoch = 2, .revision = 30});
     ASSERT_TRUE(this->awaitCalls(this->store.watches, 1));
     this->pumpFor(milliseconds(5));
-    this->store.stateEpoch(1);
     this->store.watches.front().callback(Error{.code = Errc::historyGone, .step = "store-watch", .peer = {}, .detail = {}});
     for (std::size_t number = 2; number <= 6; ++number) {
         ASSERT_TRUE(this->awaitCalls(this->store.lists, number));
-        this->store.answerList(number - 1, number % 2 == 0 ? StorePosition{.epoch = 1, .revision = 90} : StorePosition{.epoch = 2, .revision = 20});
+        this->store.answerList(number - 1, {.epoch = 2, .revision = 20});
     }
     EXPECT_GE(this->store.lists.at(5).madeAt - this->store.lists.at(4).madeAt, milliseconds(300));
     EXPECT_EQ(this->store.watches.size(), 1U);
 }
 
+/// Guards against the same for a store whose lists are taken and whose watches are always refused, as its history is too short.
+TEST_F(RouteControlTest, aStoreWithoutTheHistoryThatItsListsNameIsListedLessAndLessOften)
+{
+    this->store.answerList(0, {.epoch = 2, .revision = 30});
+    for (std::size_t number = 2; number <= 6; ++number) {
+        ASSERT_TRUE(this->awaitCalls(this->store.watches, number - 1));
+        this->store.watches.back().callback(Error{.code = Errc::historyGone, .step = "store-watch", .peer = {}, .detail = {}});
+        ASSERT_TRUE(this->awaitCalls(this->store.lists, number));
+        this->store.answerList(number - 1, {.epoch = 2, .revision = 30});
+    }
+    EXPECT_GE(this->store.lists.at(5).madeAt - this->store.lists.at(4).madeAt, milliseconds(300));
+}
+
+/// Guards against the same for a store that states two epochs by turns: each list is refuted by the next answer.
+TEST_F(RouteControlTest, aStoreThatStatesTwoEpochsByTurnsIsListedWithPauses)
+{
+    this->store.answerList(0, {.epoch = 2, .revision = 30});
+    for (std::size_t number = 2; number <= 4; ++number) {
+        ASSERT_TRUE(this->awaitCalls(this->store.watches, number - 1));
+        this->store.stateEpoch(3);
+        ASSERT_TRUE(this->awaitCalls(this->store.lists, number));
+        this->pumpFor(milliseconds(5));
+        this->store.answerList(number - 1, {.epoch = 2, .revision = 30});
+    }
+    EXPECT_GE(this->store.lists.at(3).madeAt - this->store.lists.at(2).madeAt, milliseconds(800));
+}
+
 /// Guards against two leases at a time, one of which expires later on with the entry: an answer about the entry of an earlier epoch arrived late.
 TEST_F(RouteControlTest, aLateAnswerAboutTheEntryOfAnEarlierEpochBeginsNoSecondLease)
 {
