--- a/test/soak/stand_in.py
+++ b/test/soak/stand_in.py
@@ -38,6 +38,12 @@
     return parts[0] if len(parts) == 4 and text == signature(parts[0], parts[1], request_id) else None
 
 
+def cut_connection(request):
+    """Resets the connection of a request, unless the client has closed it already."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
 class Proxy:
     """Forwards connections to a target address and disturbs them.
 
@@ -266,7 +272,7 @@
         # The writes have taken effect, but the client receives no response.
         if self.lose_write_answers > 0:
             self.lose_write_answers -= 1
-            request.transport.abort()
+            cut_connection(request)
         return web.json_response({"revision": self.revision})
 
 
@@ -333,7 +339,7 @@
             await asyncio.sleep(30)
         await asyncio.sleep(0.2 if fault_mode == "slow" else 0.004)
         if fault_mode == "losing":
-            request.transport.abort()
+            cut_connection(request)
             return web.Response()
         headers["X-Server-Stamp"] = signature(self.service, self.server_id, request_id)
         body = b"".join(expected_records(self.service, request.path_qs))
