Start: an instance that has learned that it is a relay waits for none

Cause: an instance whose own entry is not in its first list takes itself for a follower and waits up to 2.5 s for a relay with its watch suspended. Change: a relay waits for no relay.

RuntimeTests, ControlTests, PlatformTests pass.

--- a/lib/Runtime/RouteControlPeers.cpp
+++ b/lib/Runtime/RouteControlPeers.cpp
@@ -270,7 +270,9 @@
         this->onLaterEpoch();
     }
     const bool awaitsPeer = this->changeFeed.followsPeer() || this->changeFeed.awaitsNewEpoch(steadyNow());
-    if (this->watchSuspended && !awaitsPeer && steadyNow() >= this->awaitRelayUntil) {
+    // An instance that has learned that it is a relay itself waits for none.
+    const bool awaitsRelayLink = !this->changeFeed.isRelay() && steadyNow() < this->awaitRelayUntil;
+    if (this->watchSuspended && !awaitsPeer && !awaitsRelayLink) {
         this->watchSuspended = false;
         if (this->changeFeed.isUnconfirmed()) {
             logEvent(LogLevel::info,
