StoreChangeFeedEpochTest: each comparison of epochs in the feed has a test that fails without it

Five comparisons (source, confirmation, changes received, changes sent, a follower that reaches the next epoch) could be taken out one at a time without a failure of any test of the feed: other rules hide them, as an instance hears of an epoch from the first digest. ignoresWhatIsOfAnEarlierEpoch holds for another reason, as that instance watches the store. In StoreChangeFeedRestoreTest the store returns to instances at different times.

--- a/unittests/Control/StoreChangeFeedTest.cpp
+++ b/unittests/Control/StoreChangeFeedTest.cpp
@@ -376,7 +376,7 @@
 class StoreChangeFeedRestoreTest : public StoreChangeFeedTest, public testing::WithParamInterface<unsigned>
 {
 protected:
-    /// Restores the store, whose lost changes their writers write again in the following steps.
+    /// Restores the store, whose lost changes their writers write again in the following steps. It returns to some instances later than to others.
     void restoreAndWriteAgainLater()
     {
         const std::size_t lost = 1 + this->random(20);
@@ -385,6 +385,12 @@
             this->toWriteAgain.push_back(this->store[index].key);
         }
         this->restoreOlderCopy(lost);
+        for (auto &[name, harness] : this->harnesses) {
+            if (this->random(2) == 0 && this->now >= this->faultUntil[name]) {
+                this->faultUntil[name] = this->now + milliseconds(this->random(3000));
+                harness.silentSince = this->now;
+            }
+        }
     }
 
     void writeSome(const std::string &key)
@@ -905,6 +911,96 @@
     EXPECT_EQ(feed.latestEpoch(), 2U);
 }
 
+/// An instance at (2, 50) that watches no store, with a link to "a1".
+static std::unique_ptr<StoreChangeFeed> feedInSecondEpoch(Instant now)
+{
+    auto feed = std::make_unique<StoreChangeFeed>(StoreChangeFeed::Options{.instance = "a0", .domain = "a"});
+    EXPECT_TRUE(feed->onListed({}, {.epoch = 2, .revision = 50}, now, now));
+    feed->onWatchSuspended(now);
+    feed->onLinkUp("a1", now);
+    static_cast<void>(feed->takeActions());
+    return feed;
+}
+
+/// Returns the messages with changes among the actions of \p feed.
+static std::vector<PeerStoreEvents> takeSentEvents(StoreChangeFeed &feed)
+{
+    std::vector<PeerStoreEvents> sent;
+    for (const StoreFeedAction &action : feed.takeActions()) {
+        const auto *send = std::get_if<SendStoreMessage>(&action);
+        const auto *events = send == nullptr ? nullptr : std::get_if<PeerStoreEvents>(&send->message);
+        if (events != nullptr) {
+            sent.push_back(*events);
+        }
+    }
+    return sent;
+}
+
+/// Guards against an instance that listens to a peer of an earlier epoch, whose changes it cannot use.
+TEST(StoreChangeFeedEpochTest, onlyAPeerOfTheSameEpochIsASource)
+{
+    const Instant now{std::chrono::seconds(100)};
+    const auto feed = feedInSecondEpoch(now);
+    feed->onDigest("a1", {.position = {.epoch = 1, .revision = 90}, .distance = 0}, now);
+    EXPECT_EQ(feed->sourcePeer(), std::nullopt);
+    feed->onDigest("a1", {.position = {.epoch = 2, .revision = 40}, .distance = 0}, now);
+    EXPECT_EQ(feed->sourcePeer(), "a1");
+}
+
+/// Guards against knowledge that counts as confirmed because of a peer that does not know yet that the store has been restored.
+TEST(StoreChangeFeedEpochTest, aPeerOfAnEarlierEpochConfirmsNothing)
+{
+    const Instant now{std::chrono::seconds(100)};
+    const Instant later = now + milliseconds(1000);
+    for (const StoreEpoch epoch : {1, 2}) {
+        const auto feed = feedInSecondEpoch(now);
+        feed->onDigest("a1",
+                       {.position = {.epoch = epoch, .revision = 20},
+                        .distance = 0,
+                        .confirmedAge = Duration::zero(),
+                        .madeAtUs = 1,
+                        .echoedUs = later.time_since_epoch().count()},
+                       later);
+        EXPECT_EQ(feed->confirmedAt(), epoch == 1 ? now : later);
+    }
+}
+
+/// Guards against changes of a later epoch that are applied to the contents of an earlier one.
+TEST(StoreChangeFeedEpochTest, changesOfALaterEpochAreNotApplied)
+{
+    const Instant now{std::chrono::seconds(100)};
+    const auto feed = feedInSecondEpoch(now);
+    feed->onDigest("a1", {.position = {.epoch = 2, .revision = 50}, .distance = 0}, now);
+    ASSERT_EQ(feed->sourcePeer(), "a1");
+    static_cast<void>(feed->takeActions());
+    feed->onEvents("a1",
+                   {.after = 40, .position = {.epoch = 3, .revision = 60}, .removalGrace = {}, .events = {StoreItem{.key = "k", .value = "v", .revision = 55}}},
+                   now);
+    for (const StoreFeedAction &action : feed->takeActions()) {
+        EXPECT_FALSE(std::holds_alternative<ApplyRelayedEvents>(action));
+    }
+    EXPECT_TRUE(feed->isBehindEpoch());
+    EXPECT_EQ(feed->sourcePeer(), std::nullopt);
+}
+
+/// Guards against a follower that gets changes of an epoch which it has not reached, or none any more once it has.
+TEST(StoreChangeFeedEpochTest, aFollowerGetsTheChangesOfTheEpochThatItHasReached)
+{
+    const Instant now{std::chrono::seconds(100)};
+    const auto feed = feedInSecondEpoch(now);
+    feed->onDigest("a1", {.position = {.epoch = 2, .revision = 50}, .wantsEvents = true}, now);
+    ASSERT_TRUE(feed->onListed({}, {.epoch = 3, .revision = 60}, now, now));
+    EXPECT_TRUE(takeSentEvents(*feed).empty()) << "the follower is in the second epoch";
+    feed->onDigest("a1", {.position = {.epoch = 3, .revision = 60}, .wantsEvents = true}, now);
+    const std::vector<StoreEvent> events{StoreItem{.key = "k", .value = "v", .revision = 61}};
+    feed->onStoreEvents(events, {.epoch = 3, .revision = 61}, Duration::zero(), now, now);
+    const std::vector<PeerStoreEvents> sent = takeSentEvents(*feed);
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent.front().after, 60U);
+    EXPECT_EQ(sent.front().position, (StorePosition{.epoch = 3, .revision = 61}));
+    EXPECT_EQ(sent.front().events.size(), 1U);
+}
+
 /// An epoch may be missed while an instance is cut off.
 TEST(StoreChangeFeedEpochTest, anEpochThatJumpsReplacesTheContents)
 {
