A follower that has heard of a later epoch does not wait for its own watch to end

What happens: a follower that watches the store itself, as no relay forwards changes, hears of a later epoch from a peer or by the renewal of its lease. The harness of StoreChangeFeedTest suspends the watch in that state; RouteControl did not.

The reading now restarts at once, which suspends the watch for that second.

RouteControlLinkTest.aFollowerThatHasHeardOfALaterEpochDoesNotWaitForItsWatch (two links on loopback, ports 18951 and 18952) fails before (no list in 10 s) and passes; PlatformTests and RouteControlTests pass.

--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -136,7 +136,8 @@
 
     // Watching the store (RouteControl.cpp).
     void listStore(ReadConsistency consistency = ReadConsistency::latest);
-    /// Lists the store at once. What is pending or scheduled of the reads before has no effect any more.
+    /// Lists the store, at once unless a peer is expected to send the contents of the later epoch. What is pending or scheduled of the reads before
+    /// has no effect any more.
     void restartReading();
     /// Calls \p next after \p pause, unless the reading is restarted meanwhile.
     void continueAfter(Duration pause, std::function<void()> next);
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -143,7 +143,7 @@
               {.key = "before", .value = std::to_string(before)},
               {.key = "known", .value = toText(this->position)}});
     this->renewOwnEntry();
-    if (!this->watchSuspended && !this->changeFeed.awaitsNewEpoch(steadyNow())) {
+    if (!this->watchSuspended) {
         this->restartReading();
     }
 }
@@ -171,7 +171,7 @@
 void RouteControl::restartReading()
 {
     ++this->readNumber;
-    this->listStore();
+    this->watch();
 }
 
 void RouteControl::continueAfter(Duration pause, std::function<void()> next)
@@ -329,6 +329,8 @@
     }
     if (this->changeFeed.awaitsNewEpoch(steadyNow())) {
         this->watchSuspended = true;
+        this->changeFeed.onWatchSuspended(steadyNow());
+        this->performChangeFeedActions();
         return;
     }
     this->watchSuspended = false;
--- a/unittests/Runtime/RouteControlTest.cpp
+++ b/unittests/Runtime/RouteControlTest.cpp
@@ -2,6 +2,8 @@
 /// Tests the order of a route control's calls to the metadata store, which the test answers one by one.
 #include "ragwortcart/Runtime/RouteControl.h"
 
+#include "ragwortcart/Wire/PeerCodec.h"
+
 #include <QCoreApplication>
 #include <QElapsedTimer>
 #include <chrono>
@@ -67,11 +69,11 @@
         this->puts.push_back({.lease = lease, .callback = std::move(callback)});
     }
 
-    /// Answers a list with a single page without items.
-    void answerList(std::size_t index, StorePosition position)
+    /// Answers a list with a single page.
+    void answerList(std::size_t index, StorePosition position, std::vector<StoreItem> items = {})
     {
         this->stateEpoch(position.epoch);
-        this->lists.at(index).callback(StorePage{.items = {}, .hasMore = false, .position = position});
+        this->lists.at(index).callback(StorePage{.items = std::move(items), .hasMore = false, .position = position});
     }
     void answerGrant(std::size_t index, LeaseId lease, StoreEpoch epoch)
     {
@@ -91,12 +93,13 @@
     std::vector<Put> puts;
 };
 
-class EmptyFormat : public StoreFormat
+/// Each item is an instance, with its address as the value.
+class InstanceFormat : public StoreFormat
 {
 public:
-    PlatformItem decode(std::string_view, const QByteArray &) const override
+    PlatformItem decode(std::string_view key, const QByteArray &value) const override
     {
-        return UnrelatedItem{};
+        return InstanceItem{.name = std::string(key), .domain = "a", .peerAddress = value.toStdString(), .capacity = 8.0};
     }
     PlatformRemoval decodeRemoval(std::string_view) const override
     {
@@ -124,7 +127,7 @@
         static const QCoreApplication APPLICATION(count, arguments);
         this->control = std::make_unique<RouteControl>(RouteControl::Options{.instance = "i1",
                                                                              .domain = "a",
-                                                                             .peersAddress = {},
+                                                                             .peersAddress = this->peersAddress(),
                                                                              .store = this->store,
                                                                              .format = this->format,
                                                                              .configuration = this->configuration,
@@ -141,6 +144,12 @@
         ASSERT_EQ(this->store.grants.size(), 1U);
     }
 
+    /// Returns the address for links from peers; empty for none.
+    virtual std::string peersAddress() const
+    {
+        return {};
+    }
+
     static void pumpFor(milliseconds time)
     {
         QElapsedTimer timer;
@@ -163,7 +172,7 @@
     }
 
     ScriptedStore store;
-    EmptyFormat format;
+    InstanceFormat format;
     RcuValue<Configuration> configuration{std::make_shared<Configuration>()};
     RcuValue<Topology> topology{std::make_shared<Topology>()};
     CrashEvidence crashEvidence;
@@ -171,6 +180,21 @@
     std::unique_ptr<RouteControl> control;
 };
 
+/// A follower that has links. Its relays run in the test.
+class RouteControlLinkTest : public RouteControlTest
+{
+protected:
+    std::string peersAddress() const override
+    {
+        return "127.0.0.1:18951";
+    }
+
+    void TearDown() override
+    {
+        this->control->stopLinks();
+    }
+};
+
 } // namespace
 
 /// Guards against an instance that starts while the store is restored and watches it without any contents, because its first list was answered before.
@@ -202,6 +226,29 @@
     EXPECT_EQ(this->store.watches.size(), 1U);
 }
 
+/// Guards against a follower that watches the store itself, hears of a later epoch from a peer that cannot send its contents, and reads them only when its
+/// watch has ended.
+TEST_F(RouteControlLinkTest, aFollowerThatHasHeardOfALaterEpochDoesNotWaitForItsWatch)
+{
+    PeerLinks relay({.instance = "i2", .address = "127.0.0.1:18952"},
+                    {.onPeerConnected = [](const std::string &) {},
+                     .onPeerDisconnected = [](const std::string &) {},
+                     .onMessage = [](const std::string &, const std::string &) {}});
+    ASSERT_EQ(relay.start(), "");
+    this->store.answerList(0,
+                           {.epoch = 2, .revision = 30},
+                           {{.key = "i2", .value = "127.0.0.1:18952", .revision = 20}, {.key = "i3", .value = "127.0.0.1:18953", .revision = 30}});
+    ASSERT_TRUE(this->awaitCalls(this->store.watches, 1));
+    ASSERT_EQ(this->store.lists.size(), 1U);
+    QTimer digests;
+    QObject::connect(&digests, &QTimer::timeout, [&relay] {
+        relay.send("i1", encodePeerMessage(PeerStoreDigest{.position = {.epoch = 3, .revision = 10}, .distance = STORE_UNREACHABLE}));
+    });
+    digests.start(100);
+    EXPECT_TRUE(this->awaitCalls(this->store.lists, 2));
+    relay.stop();
+}
+
 /// Guards against two leases at a time, one of which expires later on with the entry: an answer about the entry of an earlier epoch arrived late.
 TEST_F(RouteControlTest, aLateAnswerAboutTheEntryOfAnEarlierEpochBeginsNoSecondLease)
 {
