--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -145,13 +145,12 @@
               {.key = "before", .value = std::to_string(before)},
               {.key = "known", .value = toText(this->position)}});
     this->renewOwnEntry();
-    if (!this->changeFeed.awaitsNewEpoch(steadyNow())) {
-        if (!this->watchSuspended) {
-            this->restartReading();
-        }
-        return;
-    }
+    this->awaitRelayUntil = {};
+    // A peer that is expected to send the contents may fail to.
     QTimer::singleShot(milliseconds(NEW_EPOCH_WAIT) + 1, this, [this] { this->performChangeFeedActions(); });
+    if (!this->watchSuspended) {
+        this->restartReading();
+    }
 }
 
 void RouteControl::leave()
@@ -182,8 +181,8 @@
         this->continueAfter(pause, [this] { this->restartReading(); });
         return;
     }
+    this->watch();
     this->restartedAt = steadyNow();
-    this->listStore();
 }
 
 void RouteControl::continueAfter(Duration pause, std::function<void()> next)
@@ -348,6 +347,8 @@
     }
     if (this->changeFeed.awaitsNewEpoch(steadyNow())) {
         this->watchSuspended = true;
+        this->changeFeed.onWatchSuspended(steadyNow());
+        this->performChangeFeedActions();
         return;
     }
     this->watchSuspended = false;
