ServerRegistry: missing servers are kept while the store is away again

The store had come back from an older copy without the servers' entries and was away again before their grace period ended; the servers were dropped at its end although nobody could have learned that they were back. An ordinary second outage has the same effect. Such servers are now kept until the grace period after the next recovery.

--- a/include/ragwortcart/Control/ServerRegistry.h
+++ b/include/ragwortcart/Control/ServerRegistry.h
@@ -103,7 +103,9 @@
     /// the options.
     void beginEpoch(Instant now);
 
-    /// Called when the store is available again after an outage. Starts the grace period for removals.
+    /// Called when the store has become unavailable. Servers that are missing are kept, because nobody would learn that they are back.
+    void onStoreLost();
+    /// Called when the store is available again after an outage. Starts the grace period for removals, also of servers that were missing before.
     void onStoreRecovered(Instant now);
     /// Extends the grace period: removals within \p grace may be caused by an outage that another instance has
     /// detected.
@@ -225,6 +227,7 @@
     std::uint64_t version = 0;
     /// Removals before this time may be caused by the outage and not by the servers.
     Instant graceEnd{};
+    bool storeLost = false;
 };
 
 } // namespace ragwort
--- a/lib/Control/ServerRegistry.cpp
+++ b/lib/Control/ServerRegistry.cpp
@@ -285,9 +285,6 @@
 {
     this->onStoreRecovered(now);
     for (auto &[id, server] : this->servers) {
-        if (server.expiresAt) {
-            server.expiresAt = this->graceEnd;
-        }
         if (server.withheld) {
             server.withheld = deadlineAt(now + this->options.serverSilence);
         }
@@ -300,9 +297,20 @@
     }
 }
 
+void ServerRegistry::onStoreLost()
+{
+    this->storeLost = true;
+}
+
 void ServerRegistry::onStoreRecovered(Instant now)
 {
+    this->storeLost = false;
     this->graceEnd = now + this->options.removalGrace;
+    for (auto &[id, server] : this->servers) {
+        if (server.expiresAt) {
+            server.expiresAt = this->graceEnd;
+        }
+    }
 }
 
 void ServerRegistry::extendRemovalGrace(Duration grace, Instant now)
@@ -321,7 +329,7 @@
 {
     ExpiredEntries expired;
     for (auto &[id, server] : this->servers) {
-        if (server.expiresAt && now >= *server.expiresAt) {
+        if (server.expiresAt && now >= *server.expiresAt && !this->storeLost) {
             this->retire(server, now);
             expired.servers.push_back(id);
         }
@@ -365,7 +373,7 @@
     std::optional<Instant> next;
     const auto consider = [&next](Instant when) { next = std::min(next.value_or(when), when); };
     for (const auto &[id, server] : this->servers) {
-        if (server.expiresAt) {
+        if (server.expiresAt && !this->storeLost) {
             consider(*server.expiresAt);
         }
         if (server.withheld) {
--- a/unittests/Control/ServerRegistryTest.cpp
+++ b/unittests/Control/ServerRegistryTest.cpp
@@ -72,6 +72,21 @@
     EXPECT_EQ(this->find("dead"), nullptr);
 }
 
+/// Guards against servers that are dropped although nobody can learn that they are back: the store was away again before their grace period ended.
+TEST_F(ServerRegistryTest, missingServersAreKeptWhileTheStoreIsAwayAgain)
+{
+    this->registry.set(entry("s"), this->now);
+    this->registry.onStoreRecovered(this->now);
+    this->registry.replaceAll({}, this->now);
+    this->registry.onStoreLost();
+    EXPECT_EQ(this->registry.nextExpiry(), std::nullopt);
+    EXPECT_FALSE(this->registry.dropExpired(this->now + seconds(60)));
+    this->registry.onStoreRecovered(this->now + seconds(60));
+    EXPECT_FALSE(this->registry.dropExpired(this->now + seconds(61)));
+    EXPECT_TRUE(this->registry.dropExpired(this->now + seconds(63)));
+    EXPECT_EQ(this->find("s"), nullptr);
+}
+
 TEST_F(ServerRegistryTest, aRestartedServerGetsANewRecord)
 {
     this->registry.set(entry("s"), this->now);
