Change feed: a list that raced with a peer's message does not show a restored store

In a store that states no epochs, a latest list that names an earlier position than was known when it was asked for proves a restore. A relay's message without changes moved the feed's position on but not the time since which it counted as known, so that a list which had been under way could count as asked for later: a healthy store would have been taken for a restored one, at the cost of a list for each relay and a lease and a write for each instance. Found by the reviewer, by reading. The feed now keeps the time with the position.

StoreChangeFeedEpochTest.aListThatRacedWithAPeerContradictsNothing; before, the feed had no such time.

--- a/include/ragwortcart/Control/StoreChangeFeed.h
+++ b/include/ragwortcart/Control/StoreChangeFeed.h
@@ -147,6 +147,12 @@
     {
         return epoch < this->newestEpoch && asOf > this->newestEpochSince;
     }
+    /// Returns whether an answer that the store gave at \p answered, and that covers \p asOf, is of an earlier time of the same epoch than what is
+    /// known, although it was asked for later.
+    bool isContradictedBy(StorePosition answered, Instant asOf) const
+    {
+        return answered.epoch == this->position.epoch && answered < this->position && asOf > this->positionKnownSince;
+    }
     /// Returns the latest epoch that the store or a peer has stated.
     StoreEpoch latestEpoch() const
     {
@@ -256,7 +262,8 @@
     /// Sends all items to a peer that asked for them, unless it was sent those of this epoch a short time ago.
     void sendSnapshot(const std::string &name, Peer &peer, Instant now);
     /// Makes \p base the beginning of an empty history.
-    void restartHistory(StorePosition base);
+    void restartHistory(StorePosition base, Instant now);
+    void advanceTo(StorePosition reached, Instant now);
     void confirm(Instant when, Instant now);
     void updateUnconfirmed(Instant now);
     /// Returns whether the peer reads what this instance sends it of its contents.
@@ -285,6 +292,8 @@
     bool relay = false;
     /// All changes up to this position are known.
     StorePosition position;
+    /// When `position` last changed.
+    Instant positionKnownSince{};
     /// Invariant: not lower than the epoch of `position`. Goes down only when the store refutes it.
     StoreEpoch newestEpoch = 0;
     /// An epoch that was stated although the store's own is lower. Another instance may not know that yet. 0 if there is none.
--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -161,8 +161,6 @@
     StorePosition positionOf(StorePosition named) const;
     /// Returns the time before which all changes are part of a list.
     static Instant coveredUntil(const Listing &listing);
-    /// Returns whether a list was asked for after the present position had become known, and may not be stale.
-    bool followsKnown(const Listing &listing) const;
     /// Returns whether a list cannot be what the store holds: it is of an earlier epoch than the latest, or follows what is known with a lower
     /// revision of the same epoch.
     bool contradictsKnown(const Listing &listing) const;
@@ -242,8 +240,6 @@
     StoreEpoch actedOnEpoch = 0;
     /// The epoch that the store has stated last, also if it is lower than before. Nothing if it has stated none.
     std::optional<StoreEpoch> statedEpoch;
-    /// When `position` last advanced.
-    Instant positionKnownSince{};
     Instant epochKnownSince{};
     /// Lease of this instance's own entry. 0 before the first lease is granted, and while a new one is.
     LeaseId lease = 0;
--- a/lib/Control/StoreChangeFeed.cpp
+++ b/lib/Control/StoreChangeFeed.cpp
@@ -321,7 +321,7 @@
             apply.events.push_back(event);
         }
     }
-    this->position = std::max(this->position, message.position);
+    this->advanceTo(message.position, now);
     if (!apply.events.empty()) {
         this->actions.emplace_back(std::move(apply));
         this->pushToAll(message.removalGrace);
@@ -335,7 +335,7 @@
     if (!this->peers.contains(peer) || !this->hasGap || outdated) {
         return;
     }
-    this->restartHistory(snapshot.position);
+    this->restartHistory(snapshot.position, now);
     this->contents.replace(snapshot.items);
     this->hasGap = false;
     this->actions.emplace_back(ApplyRelayedSnapshot{.peer = peer, .position = snapshot.position, .items = snapshot.items});
@@ -355,7 +355,7 @@
     } else if (listPosition.epoch < this->newestEpoch || listPosition < this->position) {
         return false;
     }
-    this->restartHistory(listPosition);
+    this->restartHistory(listPosition, now);
     this->contents.replace(items);
     this->confirm(asOf, now);
     this->hasGap = false;
@@ -376,7 +376,7 @@
             this->appendHistory(event);
         }
     }
-    this->position = std::max(this->position, upTo);
+    this->advanceTo(upTo, now);
     this->confirm(asOf, now);
     this->chooseSource(now);
     this->pushToAll(removalGrace);
@@ -515,12 +515,21 @@
     this->actions.emplace_back(SendStoreMessage{.peer = name, .message = PeerStoreSnapshot{.position = this->position, .items = this->contents.items()}});
 }
 
-void StoreChangeFeed::restartHistory(StorePosition base)
+void StoreChangeFeed::restartHistory(StorePosition base, Instant now)
 {
     this->history.clear();
     this->historySize = 0;
     this->historyBegin = base.revision;
     this->position = base;
+    this->positionKnownSince = now;
+}
+
+void StoreChangeFeed::advanceTo(StorePosition reached, Instant now)
+{
+    if (reached > this->position) {
+        this->position = reached;
+        this->positionKnownSince = now;
+    }
 }
 
 void StoreChangeFeed::confirm(Instant when, Instant now)
--- a/lib/Runtime/RouteControl.cpp
+++ b/lib/Runtime/RouteControl.cpp
@@ -95,18 +95,13 @@
     return listing.consistency == ReadConsistency::latest ? listing.requestedAt : listing.requestedAt - STALE_LIST_AGE;
 }
 
-bool RouteControl::followsKnown(const Listing &listing) const
-{
-    return listing.consistency == ReadConsistency::latest && listing.requestedAt > this->positionKnownSince;
-}
-
 bool RouteControl::contradictsKnown(const Listing &listing) const
 {
     const StorePosition listPosition = this->positionOf(listing.pages.position());
     if (listPosition.epoch < this->changeFeed.latestEpoch() && !this->changeFeed.refutesEpoch(listPosition.epoch, coveredUntil(listing))) {
         return true;
     }
-    return this->statedEpoch && this->followsKnown(listing) && listPosition.epoch == this->position.epoch && listPosition < this->position;
+    return this->statedEpoch && this->changeFeed.isContradictedBy(listPosition, coveredUntil(listing));
 }
 
 void RouteControl::reportOutdatedList(const Listing &listing, StorePosition listPosition)
@@ -121,7 +116,9 @@
 
 void RouteControl::onRevisionDecreased(const Listing &listing)
 {
-    if (this->followsKnown(listing) && !this->statedEpoch && !this->changeFeed.isBehindEpoch()) {
+    const StorePosition listPosition = this->positionOf(listing.pages.position());
+    const bool goneBack = this->changeFeed.isContradictedBy(listPosition, coveredUntil(listing));
+    if (goneBack && !this->statedEpoch && !this->changeFeed.isBehindEpoch()) {
         this->changeFeed.onStoreEpoch(this->position.epoch + 1, steadyNow());
         this->performChangeFeedActions();
     }
@@ -312,7 +309,6 @@
     this->registry.replaceInstances(listed.instances);
     this->changeFeed.replaceInstances(this->registry.knownInstances());
     const StorePosition before = std::exchange(this->position, itemsPosition);
-    this->positionKnownSince = now;
     this->rebuild();
     this->updateDesiredPeers();
     if (beginsEpoch) {
@@ -429,10 +425,7 @@
             this->applyEvent(event);
         }
     }
-    if (upTo > this->position) {
-        this->position = upTo;
-        this->positionKnownSince = steadyNow();
-    }
+    this->position = std::max(this->position, upTo);
     if (this->rebuildNeeded) {
         this->rebuild();
     }
@@ -625,6 +618,7 @@
     // A single failed watch is not treated as an outage.
     if (this->consecutiveFailures == 2 && !this->storeLost) {
         this->storeLost = true;
+        this->registry.onStoreLost();
         this->lostSince = steadyNow();
         logEvent(LogLevel::warning, "dependency-lost", {{.key = "dependency", .value = "store"}, {.key = "error", .value = error.describe()}});
     }
--- a/unittests/Control/StoreChangeFeedTest.cpp
+++ b/unittests/Control/StoreChangeFeedTest.cpp
@@ -970,6 +970,22 @@
     EXPECT_FALSE(feed.awaitsNewEpoch(now + milliseconds(1600))) << "the peer has been silent for the peer timeout";
 }
 
+/// Guards against a healthy store that is taken for a restored one: a list raced with a peer's message, which told of a later revision without changes.
+TEST(StoreChangeFeedEpochTest, aListThatRacedWithAPeerContradictsNothing)
+{
+    const Instant now{std::chrono::seconds(100)};
+    const Instant later = now + milliseconds(10);
+    StoreChangeFeed feed({.instance = "a0", .domain = "a"});
+    ASSERT_TRUE(feed.onListed({}, {.epoch = 2, .revision = 50}, now, now));
+    feed.onWatchSuspended(now);
+    feed.onLinkUp("a1", now);
+    feed.onDigest("a1", {.position = {.epoch = 2, .revision = 50}, .distance = 0}, now);
+    ASSERT_EQ(feed.sourcePeer(), "a1");
+    feed.onEvents("a1", {.after = 50, .position = {.epoch = 2, .revision = 60}, .removalGrace = {}, .events = {}}, later);
+    EXPECT_FALSE(feed.isContradictedBy({.epoch = 2, .revision = 55}, now + milliseconds(5)));
+    EXPECT_TRUE(feed.isContradictedBy({.epoch = 2, .revision = 55}, later + milliseconds(1)));
+}
+
 /// Guards against an instance that learns nothing any more after one answer, or one peer, has stated an epoch that the store never had.
 TEST(StoreChangeFeedEpochTest, aLaterListRefutesAnEpochThatTheStoreDoesNotHave)
 {
