--- a/test/config_in_force.py
+++ b/test/config_in_force.py
@@ -146,6 +146,12 @@
             self.peer_proxies[f"{entry.ip}:{PEERS_PORT}"] = entry.peer_proxy
             await entry.peer_proxy.start()
 
+    def begin_disturbance(self, name):
+        """Called by the soak's instances. Each scenario knows by itself what it disturbs."""
+
+    def end_disturbance(self, name):
+        """The counterpart of begin_disturbance()."""
+
     def clock(self):
         return asyncio.get_running_loop().time() - self.started
 
