--- a/include/ragwortcart/Control/StoreChangeFeed.h
+++ b/include/ragwortcart/Control/StoreChangeFeed.h
@@ -135,7 +135,8 @@
     {
         return this->source.has_value() && !this->relay && !this->unconfirmed;
     }
-    /// Returns true if the store has begun a later epoch than that of the contents, so that they must be replaced as a whole.
+    /// Returns true if the store has begun a later epoch than that of the contents, so that they must be replaced as a whole. False before
+    /// the first list.
     bool isBehindEpoch() const
     {
         return this->position.revision > 0 && this->position.epoch < this->newestEpoch;
--- a/include/ragwortcart/Runtime/RouteControl.h
+++ b/include/ragwortcart/Runtime/RouteControl.h
@@ -140,7 +140,7 @@
         std::vector<InstanceItem> instances;
     };
 
-    // Watching the store (RouteControl.cpp).
+    // Watching the store (RouteControl.cpp), and applying its contents (RouteControlItems.cpp).
     void listStore(ReadConsistency consistency = ReadConsistency::latest);
     /// Lists the store, unless a peer is expected to send the contents of the later epoch: at once, or after a pause if that has happened just
     /// before. What is pending or scheduled of the reads before has no effect any more.
